Calls that miss their objective anyway leave room to those that don't

Cause: after an outage, and whenever servers are full, callers come back a few hundred milliseconds later and take the free slots from those who call at first.

Change: an entry learns which deadlines the callers of a route name at first (estimator); what is missing is how long a caller has waited. A call that can't meet its objective any more joins servers up to a third of their slots only.

--- a/peridot-entry/dispatcher/call.go
+++ b/peridot-entry/dispatcher/call.go
@@ -38,6 +38,8 @@
 	IdempotencyKey string
 	// IssuedAt is the caller's clock at the first send; zero when it was not said.
 	IssuedAt time.Time
+	// Waited is how long the caller has waited before this send, as with an answer that it should come back; 0 when not known.
+	Waited time.Duration
 	// Depth counts the entries that the call has passed on its way.
 	Depth int
 	// Retry is true when the call is itself a retry or hedge of an entry nearer to the caller.
@@ -72,6 +74,11 @@
 // Expired reports whether the call's deadline has passed.
 func (c *Call) Expired() bool { return !time.Now().Before(c.Deadline) }
 
+// spare is how long the call may still be held up and yet meet its objective.
+func (c *Call) spare() time.Duration {
+	return time.Duration((1-workShare)*float64(c.Rule.Objective)) - c.Waited - time.Since(c.Trace.Begin)
+}
+
 // Error is a call that got no answer from a backend server.
 type Error struct {
 	// Outcome is of all sends of the call, ThisSend of this one where more is known of it.
--- a/peridot-entry/dispatcher/dispatcher_test.go
+++ b/peridot-entry/dispatcher/dispatcher_test.go
@@ -336,3 +336,38 @@
 		a.Body.Close()
 	}
 }
+
+// A call that has no time left to meet its objective says so when it asks for a server.
+func TestLateCalls(t *testing.T) {
+	const objective = 300 * time.Millisecond
+	tests := map[string]struct {
+		objective, waited time.Duration
+		late              bool
+	}{
+		"a first send":                             {objective, 0, false},
+		"a caller that came back soon":             {objective, 100 * time.Millisecond, false},
+		"a caller that came back too late":         {objective, 250 * time.Millisecond, true},
+		"nothing is late where nothing was agreed": {0, 250 * time.Millisecond, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, _, _ := newTest(answer(http.StatusOK))
+			var asked []picker.Request
+			pick := d.cfg.Pick
+			d.cfg.Pick = func(r picker.Request) (*picker.Choice, error) {
+				asked = append(asked, r)
+				return pick(r)
+			}
+			c := newCall(parser.Idempotent)
+			c.Rule.Objective, c.Waited = parser.Duration(tt.objective), tt.waited
+			a, err := d.Do(context.Background(), c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = a.Body.Close()
+			if len(asked) != 1 || asked[0].Late != tt.late {
+				t.Errorf("asked %+v, want late %t", asked, tt.late)
+			}
+		})
+	}
+}
--- a/peridot-entry/dispatcher/flight.go
+++ b/peridot-entry/dispatcher/flight.go
@@ -26,6 +26,8 @@
 	fullPause = 10 * time.Millisecond
 	// maxWaits is how often a call looks again for a server with a free slot: what is not free by then is full.
 	maxWaits = 2
+	// workShare is the share of an objective that a call is taken to need once it has a slot; operators leave some room above the work.
+	workShare = 0.4
 	// slotPauses is how many of the shortest waits for a slot fit into a call's objective.
 	slotPauses = 18
 )
@@ -132,6 +134,7 @@
 			Deferrable: deferrable,
 			Certain:    f.call.Rule.IsOnce(),
 			Rank:       f.call.Rule.Rank,
+			Late:       f.isLate(),
 		}
 		if f.d.cfg.Scout != nil {
 			req.Among = f.d.cfg.Scout(ctx, req)
@@ -153,6 +156,9 @@
 	}
 }
 
+// isLate reports whether the call can hardly meet its objective any more.
+func (f *flight) isLate() bool { return f.call.Rule.Objective > 0 && f.call.spare() <= 0 }
+
 // mayWait waits a moment for a slot where the call's objective leaves time for it, and reports whether to look again.
 func (f *flight) mayWait(ctx context.Context) bool {
 	objective := f.call.Rule.Objective.Std()
--- a/peridot-entry/picker/expected.go
+++ b/peridot-entry/picker/expected.go
@@ -23,6 +23,8 @@
 	farTime = 0.05
 	// urgentShare is how many calls per slot a server may hold for a call to join them when less urgent ones use the service.
 	urgentShare = 1.35
+	// lateShare is how many calls per slot a server may hold for a call to join them that misses its objective anyway.
+	lateShare = 1.0 / 3
 	// rankMemory is for how long a rank counts as in use after its last call.
 	rankMemory = 5 * time.Second
 	// noKnee is the factor up to which a service's servers count as not slowed by their own load.
@@ -78,7 +80,7 @@
 	for _, s := range servers {
 		load := g.load(s, now)
 		most := g.most(r, s)
-		if load+1 > max(most, float64(s.announced.Slots)) {
+		if load+1 > max(most, float64(s.announced.Slots)) || r.Late && load+1 > most {
 			continue
 		}
 		t := g.expected(s, load, now)
@@ -102,6 +104,9 @@
 // calls and answers no more of them, so that only calls that go before others, or go to a service without a knee, join it there.
 func (g *group) most(r *Request, s *server) float64 {
 	slots := float64(s.announced.Slots)
+	if r.Late {
+		return max(math.Floor(lateShare*slots), 1)
+	}
 	if g.isUrgent(r.Rank) {
 		return math.Floor(urgentShare * slots)
 	}
--- a/peridot-entry/picker/load_test.go
+++ b/peridot-entry/picker/load_test.go
@@ -66,8 +66,8 @@
 	servers []*simServer
 	table   []registrar.Server
 	entries []*Picker
-	// scouts says that entries ask candidates before each call.
-	scouts bool
+	// scouts says that entries ask candidates before each call, blind that they don't know which calls are late.
+	scouts, blind bool
 	// good, late and lost count calls by the second in which they came.
 	good, late, lost map[int]int
 	begin            time.Time
@@ -179,6 +179,7 @@
 func (s *sim) attempt(k *simCall) {
 	p := k.entry
 	req := Request{Service: "s", Rank: 2, Exclude: k.tried}
+	req.Late = !s.blind && s.now.Sub(k.came) > simObjective*6/10
 	send := func() {
 		c, err := p.Pick(req)
 		if err != nil && k.waits < 2 {
@@ -404,6 +405,38 @@
 	}
 }
 
+// outage keeps all calls that come in a span from the servers until it ends, when their callers come back within a third of a second.
+func (s *sim) outage(rate float64, from, to time.Duration) {
+	for at := from; at < to; at += time.Duration(float64(time.Second) / rate) {
+		came := s.begin.Add(at)
+		back := to - s.now.Sub(s.begin) + time.Duration(s.rnd.Int64N(int64(time.Second/3)))
+		s.after(back, func() {
+			s.attempt(&simCall{entry: s.entries[s.rnd.IntN(len(s.entries))], came: came, second: int(came.Sub(s.begin) / time.Second), refused: true})
+		})
+	}
+}
+
+// Load pattern: after an outage of 1.5 s all its callers come back at once. Those who call meanwhile are not held up behind them.
+func TestCallersThatComeBackAfterAnOutage(t *testing.T) {
+	const rate = 0.3 * simCapacity
+	for seed := range uint64(5) {
+		share := func(blind bool) float64 {
+			s := newSim(seed, Expected)
+			s.noise()
+			s.blind = blind
+			s.outage(rate, 500*time.Millisecond, 2*time.Second)
+			s.after(2*time.Second, func() { s.arrive(steady(rate), 6*time.Second) })
+			s.run(15 * time.Second)
+			return s.share(2, 4)
+		}
+		blind, got := share(true), share(false)
+		t.Logf("seed %d: %.3f of the calls after the outage met their objective, %.3f if late calls are not told apart", seed, got, blind)
+		if got < 0.9 {
+			t.Errorf("seed %d: %.3f of the calls after the outage met their objective, want 0.90", seed, got)
+		}
+	}
+}
+
 // Fresh readings beat old ones where load shifts faster than answers tell.
 func TestScoutingBeatsReports(t *testing.T) {
 	for seed := range uint64(3) {
--- a/peridot-entry/picker/picker.go
+++ b/peridot-entry/picker/picker.go
@@ -29,6 +29,8 @@
 	Among []registrar.Key
 	// Rank is the urgency of the call, 0 the highest; under Expected it decides how full a server the call may join.
 	Rank int
+	// Late keeps the call off servers that are nearly full, so that calls which can still meet their objective find room there.
+	Late bool
 }
 
 // Result is how an attempt went.
--- a/peridot-entry/receiver/receiver.go
+++ b/peridot-entry/receiver/receiver.go
@@ -14,6 +14,7 @@
 	"peridotswitch.example/common/parser"
 	"peridotswitch.example/common/server"
 	"peridotswitch.example/peridot-entry/dispatcher"
+	"peridotswitch.example/peridot-entry/estimator"
 	"peridotswitch.example/peridot-entry/registrar"
 	"peridotswitch.example/peridot-entry/tracer"
 )
@@ -59,6 +60,8 @@
 	srv *server.Server
 	// preparing counts the calls that wait for Config.Prepared.
 	preparing atomic.Int32
+	// waits tells how long callers have waited before they sent a routed call.
+	waits estimator.Estimator
 }
 
 // New starts serving on cfg.Listener; Close stops it.
--- a/peridot-entry/receiver/routed.go
+++ b/peridot-entry/receiver/routed.go
@@ -150,6 +150,8 @@
 	}
 	c.Deadline = begin.Add(min(c.Rule.Deadline.Std(), longestWait))
 	if left > 0 {
+		c.Waited = r.waits.Waited(route.Host+route.Prefix, left)
+		c.Trace.Waited = c.Waited
 		c.Deadline = begin.Add(min(c.Rule.Deadline.Std(), left))
 	}
 	return c, r.readRoutedBody(w, req, c, cfg.Routing)
--- a/peridot-entry/supervisor/calllog.go
+++ b/peridot-entry/supervisor/calllog.go
@@ -28,6 +28,9 @@
 	}
 	event := l.log.Info().Str("request-id", t.RequestID).Str("service", t.Service).Str("outcome", t.Outcome).Int("status", t.Status).
 		Uint64("routing", t.Revision).Dur("total-ms", t.Total).Dur("queue-ms", t.Queue)
+	if t.Waited > 0 {
+		event = event.Dur("waited-ms", t.Waited)
+	}
 	if missed {
 		event = event.Bool("missed-objective", true)
 	}
--- a/peridot-entry/tracer/trace.go
+++ b/peridot-entry/tracer/trace.go
@@ -32,6 +32,8 @@
 	Begin     time.Time `json:"begin"`
 	// Revision is the number of the routing that chose the service; 0 where callers name it.
 	Revision uint64 `json:"revision,omitempty"`
+	// Waited is how long the caller had waited before this send, 0 when not known.
+	Waited time.Duration `json:"waited-ns,omitempty"`
 	// Receive is the time until the call's body was in.
 	Receive time.Duration `json:"receive-ns"`
 	Claim   time.Duration `json:"claim-ns"`
