--- a/peridot-control/replicator/replicator.go
+++ b/peridot-control/replicator/replicator.go
@@ -129,10 +129,13 @@
 	}, st)
 	r.began = time.Now()
 	r.applied = r.core.log.taken
-	if st.Snapshot == nil {
-		return nil
+	if st.Snapshot != nil {
+		if err := r.cfg.Restore(st.Snapshot.State); err != nil {
+			return err
+		}
 	}
-	return r.cfg.Restore(st.Snapshot.State)
+	r.apply()
+	return nil
 }
 
 func (r *Replicator) loop() {
@@ -226,6 +229,7 @@
 	if rd.vote == nil && len(rd.entries) == 0 {
 		return nil
 	}
+	r.cfg.Recorder.Commit(r.core.log.commit)
 	return r.cfg.Recorder.Save(rd.vote, rd.entries)
 }
 
--- a/peridot-entry/follower/control.go
+++ b/peridot-entry/follower/control.go
@@ -22,6 +22,11 @@
 	watchTimeout = 1100 * time.Millisecond
 	watchBackoff = 100 * time.Millisecond
 	dialTimeout  = 300 * time.Millisecond
+	// seekTimeout is for how long members are asked at once for a connection, and seekDial for how long each time: what is sent to one
+	// without power is lost, also when that comes back meanwhile. seekEvery is the pause before the next time.
+	seekTimeout = 300 * time.Millisecond
+	seekDial    = 60 * time.Millisecond
+	seekEvery   = 25 * time.Millisecond
 )
 
 // watcher goes round the control members.
@@ -33,32 +38,105 @@
 	// version is of the entries list held, as the member at hand counts it.
 	version uint64
 	failed  bool
-	kicked  atomic.Bool
+	// tried are the members that have failed since a watch was last answered.
+	tried  map[string]bool
+	kicked atomic.Bool
 }
 
 func (f *Follower) followControl(ctx context.Context) {
-	w := &watcher{f: f, addresses: slices.Clone(f.cfg.Control)}
+	w := &watcher{f: f, addresses: slices.Clone(f.cfg.Control), tried: make(map[string]bool)}
 	for _, c := range f.cfg.InstanceID {
 		// Entries begin at different members.
 		w.at += int(c)
 	}
 	w.next()
+	w.find(ctx)
 	for ctx.Err() == nil {
 		w.addSeeds()
 		if err := w.watch(ctx); err == nil {
 			w.failed = false
+			clear(w.tried)
 			continue
 		} else if ctx.Err() == nil {
 			f.cfg.OnError(errors.WithMessage(err, "watch configuration"))
 		}
 		w.failed = true
-		w.next()
+		w.leave(ctx)
+	}
+	w.client.CloseIdleConnections()
+}
+
+// leave turns from a member that has failed to one that has not, after a pause when all have.
+func (w *watcher) leave(ctx context.Context) {
+	w.tried[w.address()] = true
+	if len(w.untried()) == 0 {
+		clear(w.tried)
 		select {
 		case <-ctx.Done():
 		case <-time.After(watchBackoff):
 		}
 	}
-	w.client.CloseIdleConnections()
+	w.next()
+	w.find(ctx)
+}
+
+// find turns to a member that takes connections, one that has failed only when no other does.
+func (w *watcher) find(ctx context.Context) {
+	for ctx.Err() == nil && !w.seek(ctx) {
+		w.f.cfg.OnError(errors.Errorf("no control member takes a connection, %d of %d asked", len(w.untried()), len(w.addresses)))
+		clear(w.tried)
+		w.addSeeds()
+	}
+}
+
+// untried lists the positions of the members that have not failed.
+func (w *watcher) untried() (list []int) {
+	for i := range w.addresses {
+		if at := (w.at + i) % len(w.addresses); !w.tried[w.addresses[at]] {
+			list = append(list, at)
+		}
+	}
+	return list
+}
+
+// seek turns to the first untried member that takes a connection: one that has lost power would hold up all others. It reports false
+// when none does within seekTimeout.
+func (w *watcher) seek(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, seekTimeout)
+	defer cancel()
+	list := w.untried()
+	listens := make(chan int, len(list))
+	for _, at := range list {
+		address := w.addresses[at]
+		go func() {
+			if awaitListener(ctx, address) {
+				listens <- at
+			}
+		}()
+	}
+	select {
+	case w.at = <-listens:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// awaitListener reports whether something listens at address before ctx ends.
+func awaitListener(ctx context.Context, address string) bool {
+	d := net.Dialer{Timeout: seekDial}
+	for {
+		c, err := d.DialContext(ctx, "tcp", address)
+		if err == nil {
+			_ = c.Close()
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(seekEvery):
+		}
+	}
 }
 
 // next turns to another member over a new connection.
