--- a/common/parser/routing.go
+++ b/common/parser/routing.go
@@ -192,17 +192,9 @@
 // routedRetryShare is the share of a routed service's calls that may be repeated, hedges included, where the operator sets no other.
 const routedRetryShare = 0.1
 
-// routedHedgeShare is the share of a routed service's calls that may be hedged where the calls may repeat.
-const routedHedgeShare = 0.15
-
 // Rule is the treatment of a call of the route that goes to service.
 func (r *Route) Rule(service string) Rule {
-	hedges := 0.0
-	if r.Repeat == Idempotent {
-		hedges = routedHedgeShare
-	}
 	return Rule{
-		HedgeShare: hedges,
 		Service:    service,
 		Repeat:     r.Repeat,
 		Priority:   Interactive,
--- a/peridot-entry/dispatcher/budget.go
+++ b/peridot-entry/dispatcher/budget.go
@@ -8,8 +8,8 @@
 const (
 	// loan is how many extra calls a service may make before its calls have earned them; calls repay it first.
 	loan = 3
-	// hedgeFloor is the share of the tokens that may be saved which hedges leave to calls that were shed or lost.
-	hedgeFloor = 0.5
+	// hedgeFloor is how many tokens hedges leave to calls that were shed or lost.
+	hedgeFloor = 5
 	// maxSaved bounds the extra calls that a quiet time saves up.
 	maxSaved = 10
 )
@@ -21,7 +21,6 @@
 	// total is spent by every extra call, hedges by hedges besides.
 	total  allowance
 	hedges allowance
-	saved  float64
 }
 
 // allowance is a token bucket that starts with a loan.
@@ -46,7 +45,6 @@
 		b.started = true
 		b.total = allowance{tokens: min(loan, saved), debt: loan}
 	}
-	b.saved = saved
 	b.total.earn(max(retryShare, hedgeShare), saved)
 	b.hedges.earn(hedgeShare, saved)
 }
@@ -55,7 +53,7 @@
 func (b *budget) spend(hedge bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.total.has() || hedge && (!b.hedges.has() || b.total.tokens < hedgeFloor*b.saved) {
+	if !b.total.has() || hedge && (!b.hedges.has() || b.total.tokens < hedgeFloor) {
 		return false
 	}
 	b.total.tokens--
--- a/peridot-entry/dispatcher/flight.go
+++ b/peridot-entry/dispatcher/flight.go
@@ -134,7 +134,7 @@
 			Deferrable: deferrable,
 			Certain:    f.call.Rule.IsOnce(),
 			Rank:       f.call.Rule.Rank,
-			Late:       f.isLate() || len(f.pending) > 0,
+			Late:       f.isLate(),
 		}
 		if f.d.cfg.Scout != nil {
 			req.Among = f.d.cfg.Scout(ctx, req)
@@ -278,10 +278,6 @@
 	if f.call.Rule.HedgeShare == 0 || f.call.Rule.Attempts < 2 || !f.mayRepeat() {
 		return 0, false
 	}
-	if f.call.Rule.Objective > 0 {
-		after = f.call.spare()
-		return after, after > 0
-	}
 	after, ok = f.service.latency.read()
 	return after, ok && after < f.call.left()
 }
