Other servers are asked when none of the first three suits

Cause: with neighbours on 35 to 42 in 100 of the servers and the others mostly in use, three random servers are often slow or full together. Calls then took the least bad one, or waited a tenth of their objective to look again.

Change: a call asks three more servers, again and again, until one of them has room and works at its usual pace; four more a call on average at most, 30 saved. Late calls make do with the first three.

--- a/peridot-entry/picker/expected.go
+++ b/peridot-entry/picker/expected.go
@@ -9,6 +9,8 @@
 const (
 	// compared is how many random servers are compared: entries that all took the best one would overload it together.
 	compared = 4
+	// slowPace is the pace from which a server counts as slowed by its neighbours.
+	slowPace = 1.5
 	// paceFade is after how long a reported pace has lost half its weight; neighbours on a machine come and go within that.
 	paceFade = 150 * time.Millisecond
 	// busyShare is the share of its slots from which a server counts as slowed by its own load.
--- a/peridot-entry/picker/load_test.go
+++ b/peridot-entry/picker/load_test.go
@@ -68,6 +68,8 @@
 	entries []*Picker
 	// scouts says that entries ask candidates before each call, blind that they don't know which calls are late.
 	scouts, blind bool
+	// rounds is how many more times others are asked when none of those asked suits.
+	rounds int
 	// good, late and lost count calls by the second in which they came.
 	good, late, lost map[int]int
 	begin            time.Time
@@ -197,8 +199,13 @@
 		send()
 		return
 	}
-	stale, all := p.Candidates(req, 3, simMaxAge)
-	req.Among = all
+	s.ask(p, &req, req, s.rounds, send)
+}
+
+// ask asks three servers that ask permits, and others when none of them suits, and then lets the call go to one of all asked.
+func (s *sim) ask(p *Picker, req *Request, ask Request, rounds int, send func()) {
+	stale, all := p.Candidates(ask, 3, simMaxAge)
+	req.Among = append(req.Among, all...)
 	s.after(simTrip, func() {
 		for _, b := range stale {
 			if i := s.index(b.InstanceID); !s.servers[i].gone {
@@ -206,7 +213,14 @@
 			}
 		}
 	})
-	s.after(2*simTrip, send)
+	s.after(2*simTrip, func() {
+		if rounds > 0 && len(all) > 0 && !req.Late && !p.Suits(*req, req.Among) {
+			ask.Exclude = append(append([]registrar.Key{}, ask.Exclude...), all...)
+			s.ask(p, req, ask, rounds-1, send)
+			return
+		}
+		send()
+	})
 }
 
 func (s *sim) serve(c *Choice, k *simCall) {
@@ -291,11 +305,14 @@
 }
 
 // noise gives a quarter of the servers a neighbour that makes work four times as long, others each 300 ms.
-func (s *sim) noise() {
+func (s *sim) noise() { s.noiseOn(0.25) }
+
+// noiseOn is noise on a share of the servers.
+func (s *sim) noiseOn(share float64) {
 	var loud map[int]bool
 	shift := func() {
 		loud = make(map[int]bool)
-		for _, i := range s.rnd.Perm(len(s.servers))[:(len(s.servers)+3)/4] {
+		for _, i := range s.rnd.Perm(len(s.servers))[:int(math.Ceil(share*float64(len(s.servers))))] {
 			loud[i] = true
 		}
 	}
@@ -437,6 +454,27 @@
 	}
 }
 
+// Load pattern: two in five servers are slowed by neighbours, others each 300 ms, and the rest is in use by half. Three random ones are
+// then often slow or full together; the call asks further instead of taking the least bad one or waiting.
+func TestOthersAreAskedWhenNoneSuits(t *testing.T) {
+	const rate = 0.3 * simCapacity
+	for seed := range uint64(5) {
+		share := func(rounds int) float64 {
+			s := newSim(seed, Expected)
+			s.noiseOn(0.4)
+			s.rounds = rounds
+			s.arrive(steady(rate), 10*time.Second)
+			s.run(20 * time.Second)
+			return s.share(1, 10)
+		}
+		three, got := share(0), share(3)
+		t.Logf("seed %d: %.3f met their objective with three servers asked, %.3f with others", seed, three, got)
+		if got < 0.9 {
+			t.Errorf("seed %d: %.3f of the calls met their objective, want 0.90", seed, got)
+		}
+	}
+}
+
 // Fresh readings beat old ones where load shifts faster than answers tell.
 func TestScoutingBeatsReports(t *testing.T) {
 	for seed := range uint64(3) {
--- a/peridot-entry/picker/picker.go
+++ b/peridot-entry/picker/picker.go
@@ -153,6 +153,20 @@
 	return stale, all
 }
 
+// Suits reports whether one of the servers has room for the call and works at about its usual pace.
+func (p *Picker) Suits(r Request, among []registrar.Key) bool {
+	g := p.group(r.Service)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := p.cfg.Now()
+	for _, s := range g.servers {
+		if names(among, s) && g.load(s, now)+1 <= g.most(&r, s) && g.paceOf(s, now) < slowPace {
+			return true
+		}
+	}
+	return false
+}
+
 // Observe takes in a load reading that came by another way than an answer, such as a probe.
 func (p *Picker) Observe(k registrar.Key, load sender.Load) {
 	g := p.group(k.Service)
--- a/peridot-entry/scout/scout.go
+++ b/peridot-entry/scout/scout.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	HealthPath func(service string) string
 	Send       func(context.Context, *sender.Request) (*sender.Response, error)
 	Observe    func(registrar.Key, sender.Load)
+	// Suits reports whether one of the servers is known to be a good one for the call, so that no others need be asked; nil for always.
+	Suits func(r picker.Request, asked []registrar.Key) bool
 	// Missed is told of a server to which no connection could be opened.
 	Missed func(registrar.Key)
 	// Probed is told of each question that has ended, and whether it was answered with a load; nil for nobody.
@@ -29,8 +32,11 @@
 }
 
 const (
-	// candidates is how many servers are compared for one call.
+	// candidates is how many servers are asked at once for one call.
 	candidates = 3
+	// extraShare is how many more servers are asked for a call on average at most, maxExtra what a quiet time saves up.
+	extraShare = 4.0
+	maxExtra   = 30
 	// maxAge is how old a reading may be to be used without asking: load shifts within a few hundred milliseconds.
 	maxAge = 20 * time.Millisecond
 	// patience is how long a call waits for answers; the round trip between availability zones and the server's own time fit in.
@@ -45,6 +51,8 @@
 type Scout struct {
 	cfg Config
 	mu  sync.Mutex
+	// extra is how many servers may be asked beyond the first ones of each call.
+	extra float64
 	// mute holds until when the servers of a service are not asked, since their answers tell no load.
 	mute map[string]time.Time
 }
@@ -59,6 +67,43 @@
 	if path == "" || s.isMute(r.Service) {
 		return nil
 	}
+	s.earn()
+	asked := s.ask(ctx, r, path)
+	for n := len(asked); n >= candidates && s.mayAsk(ctx, r, asked); {
+		next := r
+		next.Exclude = append(slices.Clone(r.Exclude), asked...)
+		more := s.ask(ctx, next, path)
+		n = len(more)
+		asked = append(asked, more...)
+	}
+	return asked
+}
+
+// mayAsk reports whether others should be asked than those that were. A late call makes do with what it has found.
+func (s *Scout) mayAsk(ctx context.Context, r picker.Request, asked []registrar.Key) bool {
+	return s.cfg.Suits != nil && !r.Late && ctx.Err() == nil && !s.cfg.Suits(r, asked) && s.spend()
+}
+
+// earn counts a call.
+func (s *Scout) earn() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.extra = min(s.extra+extraShare, maxExtra)
+}
+
+// spend reports whether another round may be asked.
+func (s *Scout) spend() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.extra < candidates {
+		return false
+	}
+	s.extra -= candidates
+	return true
+}
+
+// ask asks a few servers at once and returns those whose readings are fresh.
+func (s *Scout) ask(ctx context.Context, r picker.Request, path string) []registrar.Key {
 	stale, all := s.cfg.Candidates(r, candidates, maxAge)
 	if len(all) < 2 || len(stale) == 0 {
 		return all
--- a/peridot-entry/scout/scout_test.go
+++ b/peridot-entry/scout/scout_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -111,3 +112,58 @@
 		})
 	}
 }
+
+// Load pattern: neighbours slow two in five servers, and those that three questions find are often slow or full together.
+func TestOthersAreAsked(t *testing.T) {
+	tests := map[string]struct {
+		servers int
+		// good is the server that suits, late the calls' lateness, calls how many come.
+		good, calls int
+		late        bool
+		// asked are how many servers are asked at least and at most.
+		least, most int
+	}{
+		"the first ones suit":                      {9, 0, 1, false, 3, 3},
+		"one of the last ones does":                {9, 8, 1, false, 9, 9},
+		"none does":                                {9, -1, 1, false, 9, 9},
+		"there are no others":                      {3, -1, 1, false, 3, 3},
+		"late calls make do":                       {9, -1, 1, true, 3, 3},
+		"there is a bound over all calls together": {9, -1, 100, false, 300, 300 + maxExtra + 100*extraShare},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var asked atomic.Int32
+			var servers []registrar.Server
+			for i := range tt.servers {
+				servers = append(servers, registrar.Server{Service: "s", InstanceID: string(rune('a' + i))})
+			}
+			s := New(Config{
+				Candidates: func(r picker.Request, n int, _ time.Duration) (stale []registrar.Server, all []registrar.Key) {
+					for _, b := range servers {
+						if len(stale) < n && !slices.Contains(r.Exclude, b.Key()) {
+							stale, all = append(stale, b), append(all, b.Key())
+						}
+					}
+					return stale, all
+				},
+				HealthPath: func(string) string { return "/h" },
+				Send: func(context.Context, *sender.Request) (*sender.Response, error) {
+					asked.Add(1)
+					return &sender.Response{Load: &sender.Load{Slots: 6}, Body: io.NopCloser(strings.NewReader(""))}, nil
+				},
+				Observe: func(registrar.Key, sender.Load) {},
+				Suits: func(_ picker.Request, among []registrar.Key) bool {
+					return tt.good >= 0 && slices.Contains(among, servers[tt.good].Key())
+				},
+			})
+			// A quiet time saves up for the first call.
+			s.extra = maxExtra
+			for range tt.calls {
+				s.Ask(context.Background(), picker.Request{Service: "s", Late: tt.late})
+			}
+			if n := int(asked.Load()); n < tt.least || n > tt.most {
+				t.Errorf("%d servers were asked, want %d to %d", n, tt.least, tt.most)
+			}
+		})
+	}
+}
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -129,6 +129,7 @@
 		},
 		Send:    s.sender.Do,
 		Observe: s.picker.Observe,
+		Suits:   s.picker.Suits,
 		Missed:  s.picker.Missed,
 		Probed:  s.books.meter.Probe,
 	})
