Questions for load stay within what was agreed for each server

Cause: nothing bounded how often servers are asked for their load.

Without questions left the entry chooses by what it knows of all servers. Two servers are asked at a time in place of three, since others follow when neither suits: fewer answers are in vain.

--- a/peridot-entry/scout/scout.go
+++ b/peridot-entry/scout/scout.go
@@ -23,6 +23,8 @@
 	HealthPath func(service string) string
 	Send       func(context.Context, *sender.Request) (*sender.Response, error)
 	Observe    func(registrar.Key, sender.Load)
+	// Budget returns how many servers of a service this entry may ask a second, 0 or less for no bound; nil for none.
+	Budget func(service string) float64
 	// Suits reports whether one of the servers is known to be a good one for the call, so that no others need be asked; nil for always.
 	Suits func(r picker.Request, asked []registrar.Key) bool
 	// Missed is told of a server to which no connection could be opened.
@@ -32,8 +34,8 @@
 }
 
 const (
-	// candidates is how many servers are asked at once for one call.
-	candidates = 3
+	// candidates is how many servers are asked at once for one call: more answer too often in vain, fewer take longer.
+	candidates = 2
 	// extraShare is how many more servers are asked for a call on average at most, maxExtra what a quiet time saves up.
 	extraShare = 4.0
 	maxExtra   = 30
@@ -53,12 +55,16 @@
 	mu  sync.Mutex
 	// extra is how many servers may be asked beyond the first ones of each call.
 	extra float64
+	// budgets are the questions left for each service.
+	budgets map[string]*allowance
 	// mute holds until when the servers of a service are not asked, since their answers tell no load.
 	mute map[string]time.Time
 }
 
 // New returns a Scout.
-func New(cfg Config) *Scout { return &Scout{cfg: cfg, mute: make(map[string]time.Time)} }
+func New(cfg Config) *Scout {
+	return &Scout{cfg: cfg, mute: make(map[string]time.Time), budgets: make(map[string]*allowance)}
+}
 
 // Ask refreshes the readings of a few servers that the call might go to and returns those whose readings are fresh; none when
 // nothing is to be asked.
@@ -108,6 +114,16 @@
 	if len(all) < 2 || len(stale) == 0 {
 		return all
 	}
+	silent := make(map[registrar.Key]bool, len(stale))
+	for i := range stale {
+		silent[stale[i].Key()] = true
+	}
+	granted := s.grant(r.Service, len(stale))
+	if granted == 0 {
+		// What is known of all servers is worth more than nothing of a few.
+		return nil
+	}
+	stale = stale[:granted]
 	answers := make(chan answer, len(stale))
 	for i := range stale {
 		server := stale[i]
@@ -119,10 +135,6 @@
 			answers <- answer{server.Key(), ok}
 		}()
 	}
-	silent := make(map[registrar.Key]bool, len(stale))
-	for i := range stale {
-		silent[stale[i].Key()] = true
-	}
 	t := time.NewTimer(patience)
 	defer t.Stop()
 	for range stale {
--- a/peridot-entry/scout/scout_test.go
+++ b/peridot-entry/scout/scout_test.go
@@ -123,12 +123,12 @@
 		// asked are how many servers are asked at least and at most.
 		least, most int
 	}{
-		"the first ones suit":                      {9, 0, 1, false, 3, 3},
-		"one of the last ones does":                {9, 8, 1, false, 9, 9},
-		"none does":                                {9, -1, 1, false, 9, 9},
-		"there are no others":                      {3, -1, 1, false, 3, 3},
-		"late calls make do":                       {9, -1, 1, true, 3, 3},
-		"there is a bound over all calls together": {9, -1, 100, false, 300, 300 + maxExtra + 100*extraShare},
+		"the first ones suit":                      {4 * candidates, 0, 1, false, candidates, candidates},
+		"one of the last ones does":                {4 * candidates, 4*candidates - 1, 1, false, 4 * candidates, 4 * candidates},
+		"none does":                                {4 * candidates, -1, 1, false, 4 * candidates, 4 * candidates},
+		"there are no others":                      {candidates, -1, 1, false, candidates, candidates},
+		"late calls make do":                       {4 * candidates, -1, 1, true, candidates, candidates},
+		"there is a bound over all calls together": {4 * candidates, -1, 100, false, 100 * candidates, 100*candidates + maxExtra + 100*extraShare},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -41,7 +42,9 @@
 	LameDuck time.Duration
 	// RetrySlack is how many extra calls a service bears in a window besides a share of its calls, over all entries.
 	RetrySlack float64
-	Dialect    *receiver.Dialect
+	// ProbesPerServer is how often a second each backend server may be asked for its load, by all entries together; 0 for no bound.
+	ProbesPerServer float64
+	Dialect         *receiver.Dialect
 	// Read and Mark are the dialect towards backend servers.
 	Read         func(status int, h http.Header) sender.Reading
 	Mark         func(h http.Header, m dispatcher.Mark)
@@ -129,6 +132,7 @@
 		},
 		Send:    s.sender.Do,
 		Observe: s.picker.Observe,
+		Budget:  s.probeBudget,
 		Suits:   s.picker.Suits,
 		Missed:  s.picker.Missed,
 		Probed:  s.books.meter.Probe,
@@ -304,6 +308,14 @@
 	return limiter.ConnectionCap(connections, len(s.follower.Entries()))
 }
 
+// probeBudget is this entry's share of the questions that a service's servers answer a second.
+func (s *Routed) probeBudget(service string) float64 {
+	return s.cfg.ProbesPerServer * float64(len(s.registrar.Servers(service))) / float64(cmp.Or(len(s.follower.Entries()), assumedEntries))
+}
+
+// assumedEntries is how many entries share a budget while control has listed none.
+const assumedEntries = 16
+
 // savedExtras is this entry's share of the extra calls that a service bears besides a share of its calls.
 func (s *Routed) savedExtras() float64 {
 	return max(s.cfg.RetrySlack/float64(max(len(s.follower.Entries()), 1)), 1)
