Calls look again before they go to a slow server; late ones are refused at once

Cause: a call that begins at a server slowed by neighbours takes four times as long to its end, misses its objective and holds the slot meanwhile. It went there as soon as no fast server with room was among those asked. Late calls looked twice more for room, at the price of questions that others needed.

Change: a call that can still meet its objective turns slow servers down until its last look; one that can't is refused after its first.

--- a/peridot-entry/dispatcher/dispatcher_test.go
+++ b/peridot-entry/dispatcher/dispatcher_test.go
@@ -368,6 +368,44 @@
 			if len(asked) != 1 || asked[0].Late != tt.late {
 				t.Errorf("asked %+v, want late %t", asked, tt.late)
 			}
+			if want := tt.objective > 0 && !tt.late; asked[0].Picky != want {
+				t.Errorf("asked %+v, want picky %t", asked, want)
+			}
+		})
+	}
+}
+
+// Load pattern: all servers are full. A call that can meet its objective looks again, one that can't is refused at once.
+func TestLooksAtFullServers(t *testing.T) {
+	const objective = 90 * time.Millisecond
+	tests := map[string]struct {
+		waited time.Duration
+		looks  int
+	}{
+		"a first send":              {0, 1 + maxWaits},
+		"a caller that is too late": {objective, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, sent, _ := newTest(answer(http.StatusOK))
+			var asked []picker.Request
+			d.cfg.Pick = func(r picker.Request) (*picker.Choice, error) {
+				asked = append(asked, r)
+				return nil, picker.ErrFull
+			}
+			c := newCall(parser.Idempotent)
+			c.Rule.Objective, c.Waited = parser.Duration(objective), tt.waited
+			_, err := d.Do(context.Background(), c)
+			var e *Error
+			if !errors.As(err, &e) || e.Outcome != NotRun || e.Status != http.StatusServiceUnavailable || sent.Load() != 0 {
+				t.Fatalf("error %v after %d sends, want a refusal", err, sent.Load())
+			}
+			if len(asked) != tt.looks {
+				t.Errorf("%d looks, want %d", len(asked), tt.looks)
+			}
+			if last := asked[len(asked)-1]; last.Picky {
+				t.Error("the last look turns down slow servers")
+			}
 		})
 	}
 }
--- a/peridot-entry/dispatcher/flight.go
+++ b/peridot-entry/dispatcher/flight.go
@@ -135,6 +135,7 @@
 			Certain:    f.call.Rule.IsOnce(),
 			Rank:       f.call.Rule.Rank,
 			Late:       f.isLate(),
+			Picky:      f.isPicky(),
 		}
 		if f.d.cfg.Scout != nil {
 			req.Among = f.d.cfg.Scout(ctx, req)
@@ -159,10 +160,15 @@
 // isLate reports whether the call can hardly meet its objective any more.
 func (f *flight) isLate() bool { return f.call.Rule.Objective > 0 && f.call.spare() <= 0 }
 
+// isPicky reports whether the call rather looks again than goes to a slow server.
+func (f *flight) isPicky() bool {
+	return f.call.Rule.Objective > 0 && f.waits < maxWaits && f.sent == 0 && !f.isLate()
+}
+
 // mayWait waits a moment for a slot where the call's objective leaves time for it, and reports whether to look again.
 func (f *flight) mayWait(ctx context.Context) bool {
 	objective := f.call.Rule.Objective.Std()
-	if objective <= 0 || f.sent > 0 || f.waits >= maxWaits || ctx.Err() != nil {
+	if objective <= 0 || f.sent > 0 || f.waits >= maxWaits || ctx.Err() != nil || f.isLate() {
 		return false
 	}
 	f.waits++
--- a/peridot-entry/picker/expected.go
+++ b/peridot-entry/picker/expected.go
@@ -80,6 +80,9 @@
 func (g *group) soonestIn(r *Request, servers []*server, now time.Time) (best *server) {
 	least, room := math.Inf(1), false
 	for _, s := range servers {
+		if r.Picky && g.paceOf(s, now) >= slowPace {
+			continue
+		}
 		load := g.load(s, now)
 		most := g.most(r, s)
 		if load+1 > max(most, float64(s.announced.Slots)) || r.Late && load+1 > most {
