Budgets are shared by 16 entries at least until control has listed all

Cause, found on reading the change once more: an entry's share of the questions and of the extra calls goes by the entries that control lists. Right after a restart of everything that is one or two for a moment, so that each entry took many times its share.

Ruled out: an empty bucket at the start alone, which fills at the wrong rate.

Change: for two seconds after its start an entry counts 16 at least.

--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -1,7 +1,6 @@
 package supervisor
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -56,6 +55,7 @@
 type Routed struct {
 	cfg         RoutedConfig
 	incarnation uint64
+	started     time.Time
 	follower    *follower.Follower
 	registrar   *registrar.Registrar
 	sender      *sender.Sender
@@ -86,7 +86,7 @@
 		_ = callers.Close()
 		return nil, err
 	}
-	s = &Routed{cfg: cfg, incarnation: rand.Uint64(), log: newCallLog(cfg.Log), prepared: make(chan struct{})}
+	s = &Routed{cfg: cfg, incarnation: rand.Uint64(), started: time.Now(), log: newCallLog(cfg.Log), prepared: make(chan struct{})}
 	s.registrar = registrar.New(registrar.Config{})
 	s.sender = sender.New(sender.Config{Read: cfg.Read, AllowUnframed: true})
 	s.picker = picker.New(picker.Config{
@@ -310,15 +310,28 @@
 
 // probeBudget is this entry's share of the questions that a service's servers answer a second.
 func (s *Routed) probeBudget(service string) float64 {
-	return s.cfg.ProbesPerServer * float64(len(s.registrar.Servers(service))) / float64(cmp.Or(len(s.follower.Entries()), assumedEntries))
+	return s.cfg.ProbesPerServer * float64(len(s.registrar.Servers(service))) / float64(s.sharers())
 }
 
-// assumedEntries is how many entries share a budget while control has listed none.
-const assumedEntries = 16
+const (
+	// assumedEntries is how many entries share a budget at least before control has listed them all: as many as deployments begin with.
+	assumedEntries = 16
+	// listingTime is how long that takes: an election, a watch and a renewal of each.
+	listingTime = 2 * time.Second
+)
+
+// sharers is how many entries share a budget, this one included.
+func (s *Routed) sharers() int {
+	n := max(len(s.follower.Entries()), 1)
+	if time.Since(s.started) < listingTime {
+		return max(n, assumedEntries)
+	}
+	return n
+}
 
 // savedExtras is this entry's share of the extra calls that a service bears besides a share of its calls.
 func (s *Routed) savedExtras() float64 {
-	return max(s.cfg.RetrySlack/float64(max(len(s.follower.Entries()), 1)), 1)
+	return max(s.cfg.RetrySlack/float64(s.sharers()), 1)
 }
 
 // finished counts an ended call, keeps its trace when it missed its objective, and logs it.
