Control members tell entries nothing before there is a leader

What one member's log knows to be committed lacks the last accepted change. An accepted change must not be taken back, also not by a restart.

Ruled out: a barrier after each change, by which a majority knows it to be committed: the one member that answers first may not be of that majority. Asking a majority takes as long as electing a leader, but where the third member is late.

--- a/peridot-control/deliverer/deliverer.go
+++ b/peridot-control/deliverer/deliverer.go
@@ -111,7 +111,6 @@
 	leading      bool
 	lastLeader   string
 	clients      map[string]*leaderClient
-	started      time.Time
 	heard        heard
 	packer       packer
 
@@ -130,7 +129,7 @@
 	d := &Deliverer{
 		cfg: cfg, table: newTable(cfg.Now, cfg.EntryLease), cancel: cancel,
 		pending: make(map[string]*delivererpb.EntryMember), watched: make(map[string]watched), kick: make(chan struct{}, 1),
-		confirmedNew: make(chan struct{}), clients: make(map[string]*leaderClient), started: cfg.Now(),
+		confirmedNew: make(chan struct{}), clients: make(map[string]*leaderClient),
 	}
 	d.wg.Go(func() { d.renewLoop(ctx) })
 	return d
@@ -156,14 +155,9 @@
 		return nil, twirp.NewError(twirp.Unavailable, "the leader has confirmed nothing here for a while; ask another member")
 	}
 	lease := ConfigurationLease
-	// A newer revision than an entry holds may go out unconfirmed, and so may any to an entry that holds none while all of control
-	// starts; anything else only after a majority has agreed.
-	if d.hasNews(req) && (req.Revision > 0 || d.isStarting()) && !d.isConfirmed(began) {
+	// A newer revision than an entry holds may go out unconfirmed; anything else only after a majority has agreed.
+	if d.hasNews(req) && req.Revision > 0 && !d.isConfirmed(began) {
 		lease = 0
-		if req.Revision == 0 {
-			d.cfg.Log.Info().Str("entry", req.InstanceId).Uint64("revision", d.cfg.Current().Revision).
-				Msg("entry told of what was accepted before this member started")
-		}
 	} else if err := d.confirm(ctx, began); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
@@ -240,18 +234,6 @@
 // cutOffAfter is how long a member may go without a word from the leader before entries should ask another one.
 const cutOffAfter = time.Second
 
-// startingFor is for how long a member that has heard from no leader since its start tells entries what it knows to be accepted: a
-// few elections, after which it is rather cut off.
-const startingFor = 2 * time.Second
-
-// isStarting reports whether this member has just started and heard from no leader yet. An entry that has just started, too, is better
-// off with what was accepted some time ago than with nothing: as after a loss of power everywhere.
-func (d *Deliverer) isStarting() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.confirmed.IsZero() && d.cfg.Now().Sub(d.started) < startingFor && d.cfg.Current().Revision > 0
-}
-
 // isCutOff reports whether this member may miss what the others have accepted.
 func (d *Deliverer) isCutOff() bool { return !d.isConfirmed(d.cfg.Now().Add(-cutOffAfter)) }
 
--- a/peridot-control/recorder/load.go
+++ b/peridot-control/recorder/load.go
@@ -30,8 +30,6 @@
 		return nil, &DamageError{logName, 0, "it has no identity or base"}
 	}
 	st.TornBytes = len(buf) - whole
-	// The last write may have said so of an entry that it didn't bring to the disk.
-	st.Commit = min(st.Commit, st.Base.Index+uint64(len(st.Entries)))
 	if err = st.loadSnapshot(r.path(snapshotName)); err != nil {
 		return nil, err
 	}
@@ -63,7 +61,6 @@
 
 // take adds one record of the log file.
 func (st *State) take(rec *replicatorpb.Record) error {
-	st.Commit = max(st.Commit, rec.Commit)
 	switch v := rec.Record.(type) {
 	case *replicatorpb.Record_Identity:
 		st.ID = v.Identity
--- a/peridot-control/recorder/recorder.go
+++ b/peridot-control/recorder/recorder.go
@@ -28,8 +28,6 @@
 	// Base is the position before the first of Entries.
 	Base    *replicatorpb.Position
 	Entries []*replicatorpb.Entry
-	// Commit is up to where Entries were known to be committed; more of them may be.
-	Commit uint64
 	// TornBytes counts the bytes of an unfinished last write, which were never acknowledged and are gone.
 	TornBytes int
 }
@@ -54,8 +52,6 @@
 	log  *os.File
 	lock *os.File
 	size int64
-	// commit goes into the records that are written next.
-	commit uint64
 }
 
 // Open opens the folder, or creates it with a new identity; a damaged one is refused with a *DamageError.
@@ -96,9 +92,6 @@
 // Size returns the bytes in the log file.
 func (r *Recorder) Size() int64 { return r.size }
 
-// Commit notes up to which index the log is committed; records that are written from now on say so.
-func (r *Recorder) Commit(index uint64) { r.commit = index }
-
 // Save appends a vote, when not nil, and entries, with one sync; an entry replaces those from its index on.
 func (r *Recorder) Save(vote *replicatorpb.Vote, entries []*replicatorpb.Entry) (err error) {
 	defer func() { err = errors.WithMessage(err, "save to the log") }()
@@ -107,7 +100,7 @@
 		buf = appendRecord(buf, &replicatorpb.Record{Record: &replicatorpb.Record_Vote{Vote: vote}})
 	}
 	for _, e := range entries {
-		buf = appendRecord(buf, &replicatorpb.Record{Record: &replicatorpb.Record_Entry{Entry: e}, Commit: r.commit})
+		buf = appendRecord(buf, &replicatorpb.Record{Record: &replicatorpb.Record_Entry{Entry: e}})
 	}
 	if _, err = r.log.Write(buf); err != nil {
 		return err
@@ -131,7 +124,7 @@
 // Retire forgets everything in the folder and gives it a new identity.
 func (r *Recorder) Retire() (st *State, err error) {
 	defer func() { err = errors.WithMessage(err, "retire the member") }()
-	r.id, r.commit = r.cfg.NewID(), 0
+	r.id = r.cfg.NewID()
 	st = &State{ID: r.id, Vote: &replicatorpb.Vote{}, Base: &replicatorpb.Position{}}
 	// The log goes first: an old snapshot beside a new identity is dropped when the folder is opened.
 	if err = r.rewrite(st.Vote, st.Base, nil); err != nil {
--- a/peridot-control/replicator/log.go
+++ b/peridot-control/replicator/log.go
@@ -36,7 +36,6 @@
 		l.append(e)
 	}
 	l.stable = l.last()
-	l.commit = min(max(l.commit, st.Commit), l.last())
 }
 
 func (l *raftLog) last() uint64 { return l.base.Index + uint64(len(l.entries)) }
--- a/peridot-control/replicator/replicator.go
+++ b/peridot-control/replicator/replicator.go
@@ -129,13 +129,10 @@
 	}, st)
 	r.began = time.Now()
 	r.applied = r.core.log.taken
-	if st.Snapshot != nil {
-		if err := r.cfg.Restore(st.Snapshot.State); err != nil {
-			return err
-		}
+	if st.Snapshot == nil {
+		return nil
 	}
-	r.apply()
-	return nil
+	return r.cfg.Restore(st.Snapshot.State)
 }
 
 func (r *Replicator) loop() {
@@ -229,7 +226,6 @@
 	if rd.vote == nil && len(rd.entries) == 0 {
 		return nil
 	}
-	r.cfg.Recorder.Commit(r.core.log.commit)
 	return r.cfg.Recorder.Save(rd.vote, rd.entries)
 }
 
