--- a/prover/soak_test.go
+++ b/prover/soak_test.go
@@ -25,7 +25,7 @@
 
 // soakRegressions are seeds that once failed, with the cause.
 var soakRegressions = map[uint64]string{
-	2: "a SIGHUP right after the start ended the entry, which asked for the signal only once its settings were read",
+	2:   "a SIGHUP right after the start ended the entry, which asked for the signal only once its settings were read",
 	117: "an entry that was killed together with all of control was told an older configuration by a member that was still alone",
 }
 
