picker, scout, dispatcher: read once more

Picky is called FastOnly, after what it asks for. Asking servers and choosing whom to ask are two functions in the scout. The bound that only late calls keep has a name.

--- a/peridot-entry/dispatcher/dispatcher_test.go
+++ b/peridot-entry/dispatcher/dispatcher_test.go
@@ -368,8 +368,8 @@
 			if len(asked) != 1 || asked[0].Late != tt.late {
 				t.Errorf("asked %+v, want late %t", asked, tt.late)
 			}
-			if want := tt.objective > 0 && !tt.late; asked[0].Picky != want {
-				t.Errorf("asked %+v, want picky %t", asked, want)
+			if want := tt.objective > 0 && !tt.late; asked[0].FastOnly != want {
+				t.Errorf("asked %+v, want fast only %t", asked, want)
 			}
 		})
 	}
@@ -403,7 +403,7 @@
 			if len(asked) != tt.looks {
 				t.Errorf("%d looks, want %d", len(asked), tt.looks)
 			}
-			if last := asked[len(asked)-1]; last.Picky {
+			if last := asked[len(asked)-1]; last.FastOnly {
 				t.Error("the last look turns down slow servers")
 			}
 		})
--- a/peridot-entry/dispatcher/flight.go
+++ b/peridot-entry/dispatcher/flight.go
@@ -135,7 +135,7 @@
 			Certain:    f.call.Rule.IsOnce(),
 			Rank:       f.call.Rule.Rank,
 			Late:       f.isLate(),
-			Picky:      f.isPicky(),
+			FastOnly:   f.wantsFast(),
 		}
 		if f.d.cfg.Scout != nil {
 			req.Among = f.d.cfg.Scout(ctx, req)
@@ -160,8 +160,8 @@
 // isLate reports whether the call can hardly meet its objective any more.
 func (f *flight) isLate() bool { return f.call.Rule.Objective > 0 && f.call.spare() <= 0 }
 
-// isPicky reports whether the call rather looks again than goes to a slow server.
-func (f *flight) isPicky() bool {
+// wantsFast reports whether the call rather looks again than goes to a slow server.
+func (f *flight) wantsFast() bool {
 	return f.call.Rule.Objective > 0 && f.waits < maxWaits && f.sent == 0 && !f.isLate()
 }
 
--- a/peridot-entry/picker/expected.go
+++ b/peridot-entry/picker/expected.go
@@ -80,12 +80,12 @@
 func (g *group) soonestIn(r *Request, servers []*server, now time.Time) (best *server) {
 	least, room := math.Inf(1), false
 	for _, s := range servers {
-		if r.Picky && g.paceOf(s, now) >= slowPace {
+		if r.FastOnly && g.paceOf(s, now) >= slowPace {
 			continue
 		}
 		load := g.load(s, now)
 		most := g.most(r, s)
-		if load+1 > max(most, float64(s.announced.Slots)) || r.Late && load+1 > most {
+		if load+1 > crossable(r, s, most) {
 			continue
 		}
 		t := g.expected(s, load, now)
@@ -105,6 +105,14 @@
 	return best
 }
 
+// crossable is how many calls a server may hold at all where most of them don't slow each other: late calls slow no others.
+func crossable(r *Request, s *server, most float64) float64 {
+	if r.Late {
+		return most
+	}
+	return max(most, float64(s.announced.Slots))
+}
+
 // most is how many calls a server may hold after the request has joined them. Beyond busyShare of its slots a server slows all its
 // calls and answers no more of them, so that only calls that go before others, or go to a service without a knee, join it there.
 func (g *group) most(r *Request, s *server) float64 {
--- a/peridot-entry/picker/picker.go
+++ b/peridot-entry/picker/picker.go
@@ -31,8 +31,8 @@
 	Rank int
 	// Late keeps the call off servers that are nearly full, so that calls which can still meet their objective find room there.
 	Late bool
-	// Picky keeps the call off servers that are slowed by neighbours, when it may look again.
-	Picky bool
+	// FastOnly keeps the call off servers that are slowed by neighbours; calls that may look again set it.
+	FastOnly bool
 }
 
 // Result is how an attempt went.
--- a/peridot-entry/scout/scout.go
+++ b/peridot-entry/scout/scout.go
@@ -114,19 +114,24 @@
 	if len(all) < 2 || len(stale) == 0 {
 		return all
 	}
-	silent := make(map[registrar.Key]bool, len(stale))
-	for i := range stale {
-		silent[stale[i].Key()] = true
-	}
 	granted := s.grant(r.Service, len(stale))
 	if granted == 0 {
 		// What is known of all servers is worth more than nothing of a few.
 		return nil
 	}
-	stale = stale[:granted]
-	answers := make(chan answer, len(stale))
+	silent := make(map[registrar.Key]bool, len(stale))
 	for i := range stale {
-		server := stale[i]
+		silent[stale[i].Key()] = true
+	}
+	s.hear(ctx, stale[:granted], path, silent)
+	return heard(all, silent)
+}
+
+// hear asks servers and takes those off silent that answer while a call may wait.
+func (s *Scout) hear(ctx context.Context, servers []registrar.Server, path string, silent map[registrar.Key]bool) {
+	answers := make(chan answer, len(servers))
+	for i := range servers {
+		server := servers[i]
 		go func() {
 			ok := s.probe(context.WithoutCancel(ctx), &server, path)
 			if s.cfg.Probed != nil {
@@ -137,17 +142,16 @@
 	}
 	t := time.NewTimer(patience)
 	defer t.Stop()
-	for range stale {
+	for range servers {
 		select {
 		case a := <-answers:
 			silent[a.key] = !a.ok
-			continue
 		case <-t.C:
+			return
 		case <-ctx.Done():
+			return
 		}
-		return heard(all, silent)
 	}
-	return heard(all, silent)
 }
 
 // answer is how one probe ended.
