Idle connections are kept as long as the server says

The servers' Keep-Alive header states when they close; it was ignored. A probe, which has no request id, took a late second answer to an earlier call for its own response. Change: a connection is closed a second before the server's time-out, 5 s without the header; a response with an id is no probe's.

--- a/peridot-entry/sender/conn.go
+++ b/peridot-entry/sender/conn.go
@@ -24,7 +24,9 @@
 	opened time.Time
 	// lastResponse is when the last complete response was received, or else when the connection was opened.
 	lastResponse time.Time
-	calls        int
+	// maxIdle is how long the connection may be idle.
+	maxIdle time.Duration
+	calls   int
 	// wrote is set before the first byte of the current call may be sent, received once the first byte of its response has been read.
 	wrote    atomic.Bool
 	received bool
@@ -35,7 +37,7 @@
 }
 
 func newConn(c net.Conn, h *host, now time.Time) *conn {
-	pc := &conn{Conn: c, host: h, opened: now, lastResponse: now, headerBytesLeft: -1}
+	pc := &conn{Conn: c, host: h, opened: now, lastResponse: now, maxIdle: defaultMaxIdle, headerBytesLeft: -1}
 	pc.reader, pc.writer = bufio.NewReader(pc), bufio.NewWriter(pc)
 	return pc
 }
@@ -74,6 +76,9 @@
 	c.wrote.Store(false)
 }
 
+// isIdleTooLong reports whether an idle connection is to be closed.
+func (c *conn) isIdleTooLong(now time.Time) bool { return now.Sub(c.lastResponse) > c.maxIdle }
+
 // release makes the connection idle, or closes it when it holds bytes beyond the response.
 func (c *conn) release() {
 	if c.reader.Buffered() > 0 {
--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -56,7 +56,10 @@
 			return nil, err
 		}
 		e.info = e.cfg.ParseHeaders(res.StatusCode, res.Header)
-		if e.requestID == "" || e.info.RequestID == "" || e.info.RequestID == e.requestID {
+		if e.isOwn() {
+			if maxIdle, ok := parseKeepAlive(res.Header); ok {
+				e.conn.maxIdle = maxIdle
+			}
 			return res, nil
 		}
 		// More unsolicited responses may follow on this connection.
@@ -69,6 +72,32 @@
 	return nil, errStale
 }
 
+// isOwn reports whether the response belongs to this request. Probes have no id, so that a response with one is an earlier call's.
+func (e *exchange) isOwn() bool {
+	if e.probe && e.requestID == "" {
+		return e.info.RequestID == ""
+	}
+	return e.requestID == "" || e.info.RequestID == "" || e.info.RequestID == e.requestID
+}
+
+// parseKeepAlive returns how long an idle connection is to be kept according to a response's Keep-Alive header, which states when the
+// server closes it.
+func parseKeepAlive(h http.Header) (maxIdle time.Duration, ok bool) {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err != nil || seconds < 0 {
+			return 0, false
+		}
+		timeout := min(time.Duration(min(seconds, int(maxMaxIdle/time.Second)))*time.Second, maxMaxIdle)
+		return timeout - min(keepAliveMargin, timeout/4), true
+	}
+	return 0, false
+}
+
 var errStale = errors.New("the connection brings answers to other requests")
 
 // readOne waits for the header of a final response and skips informational ones.
--- a/peridot-entry/sender/pool.go
+++ b/peridot-entry/sender/pool.go
@@ -76,12 +76,12 @@
 	return c, nil
 }
 
-// reap closes the connections whose last response was not after t, and removes hosts that are no longer used.
-func (p *pool) reap(t time.Time) {
+// reap closes the connections that have been idle for too long, or all idle ones, and removes hosts that are no longer used.
+func (p *pool) reap(now time.Time, all bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, h := range p.hosts {
-		if h.reap(t) {
+		if h.reap(now, all) {
 			delete(p.hosts, address)
 		}
 	}
@@ -117,7 +117,7 @@
 }
 
 func (h *host) isUsable(c *conn, now time.Time) bool {
-	return now.Sub(c.lastResponse) <= maxIdleTime && c.lastResponse.After(h.suspectBefore) && c.hasNoInput()
+	return !c.isIdleTooLong(now) && c.lastResponse.After(h.suspectBefore) && c.hasNoInput()
 }
 
 // markSuspect closes the idle connections without a response since t, the start time of a call whose connection went silent.
@@ -156,19 +156,19 @@
 	h.open--
 }
 
-// reap closes the idle connections whose last response was not after t. It returns true when none is open and the host was not used
-// since t.
-func (h *host) reap(t time.Time) bool {
+// reap closes the connections that have been idle for too long, or all idle ones. It returns true when none is open and the host was not
+// used for hostRetention.
+func (h *host) reap(now time.Time, all bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	kept := h.idle[:0]
 	for _, c := range h.idle {
-		if c.lastResponse.After(t) {
-			kept = append(kept, c)
-		} else {
+		if all || c.isIdleTooLong(now) {
 			h.closeConn(c)
+		} else {
+			kept = append(kept, c)
 		}
 	}
 	h.idle = kept
-	return h.open == 0 && !h.lastUsed.After(t)
+	return h.open == 0 && (all || now.Sub(h.lastUsed) > hostRetention)
 }
--- a/peridot-entry/sender/sender.go
+++ b/peridot-entry/sender/sender.go
@@ -128,9 +128,14 @@
 	DefaultDialTimeout = 250 * time.Millisecond
 	// freshFor is how long a connection counts as fresh after a response.
 	freshFor = 100 * time.Millisecond
-	// maxIdleTime is how long an idle connection is kept.
-	maxIdleTime  = 5 * time.Second
-	reapInterval = time.Second
+	// defaultMaxIdle is how long an idle connection is kept if the backend server does not say how long it keeps it. One that does is
+	// believed up to maxMaxIdle, and the connection is closed keepAliveMargin earlier, so that no request crosses its end.
+	defaultMaxIdle  = 5 * time.Second
+	maxMaxIdle      = time.Minute
+	keepAliveMargin = time.Second
+	// hostRetention is how long the record of a server without connections is kept.
+	hostRetention = 5 * time.Second
+	reapInterval  = time.Second
 	// silentAfter is how long a canceled call must have waited for its connection to count as silent.
 	silentAfter = 100 * time.Millisecond
 	// maxInformational limits the 1xx responses before the final one.
@@ -174,7 +179,7 @@
 			case <-done:
 				return
 			case <-time.After(reapInterval):
-				s.pool.reap(time.Now().Add(-maxIdleTime))
+				s.pool.reap(time.Now(), false)
 			}
 		}
 	})
@@ -188,7 +193,7 @@
 // Close closes the idle connections and stops the background work.
 func (s *Sender) Close() {
 	s.stop()
-	s.pool.reap(time.Now())
+	s.pool.reap(time.Now(), true)
 }
 
 // Do sends one attempt and returns once the response's header has been read. The error is an *Error.
