Probes: other servers when none responds, again on a forgotten connection

Cause: where some servers are silent, both probes of a call often go to such; the call was then sent to one of them by an old report. A probe on an idle connection that the server had forgotten excluded a sound server. Change: another round when no probe was answered, also for late calls, within the limit on extra probes; one repetition on a new connection after a reset of a reused one. Both tests fail on the code before.

--- a/peridot-entry/scout/scout.go
+++ b/peridot-entry/scout/scout.go
@@ -32,6 +32,8 @@
 	HasSuitable func(r picker.Request, probed []registrar.Key) bool
 	// OnUnreachable is called with a server to which no connection could be opened.
 	OnUnreachable func(registrar.Key)
+	// OnUnanswered is called with a server that did not respond to a probe within probeTimeout; may be nil.
+	OnUnanswered func(registrar.Key)
 	// OnProbe is called at the end of each probe with whether it was answered with a load report; may be nil.
 	OnProbe func(service string, answered bool)
 }
@@ -72,28 +74,39 @@
 	return &Scout{cfg: cfg, pausedUntil: make(map[string]time.Time), budgets: make(map[string]*tokenBucket)}
 }
 
-// Probe probes a few servers that may take the call and returns them, without those that did not respond in time; when none of a round
-// responded, it returns all of that round. It returns no servers when the service is not to be probed.
+// Probe probes a few servers that may take the call and returns them, without those that did not respond in time; when none responded
+// in any round, it returns those of the first. It returns no servers when the service is not to be probed.
 func (s *Scout) Probe(ctx context.Context, r picker.Request) []registrar.Key {
 	path := s.cfg.HealthPath(r.Service)
 	if path == "" || s.isPaused(r.Service) {
 		return nil
 	}
 	s.addExtra()
-	probed := s.probeRound(ctx, r, path)
-	for n := len(probed); n >= probesPerRound && s.needsMore(ctx, r, probed); {
+	probed, answered := s.probeRound(ctx, r, path)
+	tried := probed
+	for n := len(probed); n >= probesPerRound && s.needsMore(ctx, r, probed, answered); {
 		next := r
-		next.Exclude = append(slices.Clone(r.Exclude), probed...)
-		more := s.probeRound(ctx, next, path)
+		next.Exclude = append(slices.Clone(r.Exclude), tried...)
+		more, moreAnswered := s.probeRound(ctx, next, path)
 		n = len(more)
-		probed = append(probed, more...)
+		tried = append(slices.Clone(tried), more...)
+		switch {
+		case answered && moreAnswered:
+			probed = append(slices.Clone(probed), more...)
+		case moreAnswered && n > 0:
+			probed, answered = more, true
+		}
 	}
 	return probed
 }
 
-// needsMore reports whether other servers should be probed in another round, and counts that round. A late call gets none.
-func (s *Scout) needsMore(ctx context.Context, r picker.Request, probed []registrar.Key) bool {
-	return s.cfg.HasSuitable != nil && !r.Late && ctx.Err() == nil && !s.cfg.HasSuitable(r, probed) && s.takeExtra()
+// needsMore reports whether other servers should be probed in another round, and counts that round. answered means that one of those
+// probed has responded. A late call gets another round only if none has.
+func (s *Scout) needsMore(ctx context.Context, r picker.Request, probed []registrar.Key, answered bool) bool {
+	if s.cfg.HasSuitable == nil || ctx.Err() != nil || answered && (r.Late || s.cfg.HasSuitable(r, probed)) {
+		return false
+	}
+	return s.takeExtra()
 }
 
 // addExtra adds the extra probes that one call allows.
@@ -114,23 +127,23 @@
 	return true
 }
 
-// probeRound probes a few servers at once and returns those with a fresh load report; all of them when none has one.
-func (s *Scout) probeRound(ctx context.Context, r picker.Request, path string) []registrar.Key {
+// probeRound probes a few servers at once and returns those with a fresh load report; all of them, and false, when none has one.
+func (s *Scout) probeRound(ctx context.Context, r picker.Request, path string) (probed []registrar.Key, answered bool) {
 	stale, all := s.cfg.Candidates(r, probesPerRound, maxAge)
 	if len(all) < 2 || len(stale) == 0 {
-		return all
+		return all, true
 	}
 	granted := s.grant(r.Service, len(stale))
 	if granted == 0 {
 		// Without fresh reports, a choice among all servers is better than one among a few.
-		return nil
+		return nil, true
 	}
 	unanswered := make(map[registrar.Key]bool, len(stale))
 	for i := range stale {
 		unanswered[stale[i].Key()] = true
 	}
 	s.probeAll(ctx, stale[:granted], path, unanswered)
-	return answered(all, unanswered)
+	return withoutUnanswered(all, unanswered)
 }
 
 // probeAll probes servers at once and removes from unanswered those that respond within waitTimeout.
@@ -166,32 +179,41 @@
 	ok  bool
 }
 
-// answered returns all without the unanswered servers, whose last load reports are out of date; when none responded, it returns all.
-func answered(all []registrar.Key, unanswered map[registrar.Key]bool) []registrar.Key {
-	out := make([]registrar.Key, 0, len(all))
+// withoutUnanswered returns all without the unanswered servers, whose last load reports are out of date; all, and false, when none
+// responded.
+func withoutUnanswered(all []registrar.Key, unanswered map[registrar.Key]bool) (out []registrar.Key, answered bool) {
 	for _, k := range all {
 		if !unanswered[k] {
 			out = append(out, k)
 		}
 	}
 	if len(out) == 0 {
-		return all
+		return all, false
 	}
-	return out
+	return out, true
 }
 
 // probeServer probes one server and reports whether it responded with a load report.
 func (s *Scout) probeServer(ctx context.Context, server *registrar.Server, path string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	res, err := s.cfg.Send(ctx, &sender.Request{
+	req := &sender.Request{
 		Address: server.Address, Server: server.Key(), Connections: server.Connections, Method: http.MethodGet, Path: path, Header: make(http.Header), Probe: true,
-	})
+	}
+	res, err := s.cfg.Send(ctx, req)
+	var se *sender.Error
+	if errors.As(err, &se) && se.Reused && ctx.Err() == nil {
+		// The server had closed or forgotten the idle connection, which says nothing about the server.
+		req.FreshConnection = true
+		res, err = s.cfg.Send(ctx, req)
+	}
 	if err != nil {
-		var se *sender.Error
 		if errors.As(err, &se) && se.Unreachable {
 			s.cfg.OnUnreachable(server.Key())
 		}
+		if s.cfg.OnUnanswered != nil && ctx.Err() != nil {
+			s.cfg.OnUnanswered(server.Key())
+		}
 		return false
 	}
 	defer res.Body.Close()
--- a/peridot-entry/scout/scout_test.go
+++ b/peridot-entry/scout/scout_test.go
@@ -114,6 +114,36 @@
 	}
 }
 
+// A server may forget idle connections: a probe on one is then reset, which must not exclude the server.
+func TestProbeOnForgottenConnectionIsRepeated(t *testing.T) {
+	tests := map[string]struct {
+		reused bool
+		sends  int
+		ok     bool
+	}{
+		"reset on an idle connection": {true, 2, true},
+		"reset on a new connection":   {false, 1, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			sends := 0
+			s := New(Config{
+				Send: func(_ context.Context, r *sender.Request) (*sender.Response, error) {
+					sends++
+					if !r.FreshConnection {
+						return nil, &sender.Error{Phase: sender.Waiting, Reused: tt.reused, Err: errors.New("reset")}
+					}
+					return &sender.Response{Load: &sender.Load{Slots: 6}, Body: io.NopCloser(strings.NewReader(""))}, nil
+				},
+				Observe: func(registrar.Key, sender.Load) {},
+			})
+			if ok := s.probeServer(context.Background(), &registrar.Server{Service: "s", InstanceID: "a"}, "/h"); ok != tt.ok || sends != tt.sends {
+				t.Errorf("answered is %t after %d sends, want %t after %d", ok, sends, tt.ok, tt.sends)
+			}
+		})
+	}
+}
+
 // With two in five servers slowed down by noisy neighbours, the servers probed first are often all slow or full. Further rounds of probes
 // must find others, within the limit on extra probes.
 func TestExtraRounds(t *testing.T) {
@@ -169,3 +199,52 @@
 		})
 	}
 }
+
+// Where a part of the servers has gone silent, two probes often go to silent ones only. Others must be probed then rather than a call be
+// sent to a server that has not responded.
+func TestOtherServersAreProbedWhenNoneResponds(t *testing.T) {
+	tests := map[string]struct {
+		silent int
+		late   bool
+		want   []string
+	}{
+		"the first round is silent":               {2, false, []string{"c", "d"}},
+		"the first round is silent for late call": {2, true, []string{"c", "d"}},
+		"one of the first round responds":         {1, false, []string{"b"}},
+		"all are silent":                          {4, false, []string{"a", "b"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			ids := []string{"a", "b", "c", "d"}
+			silent := ids[:tt.silent]
+			s := New(Config{
+				Candidates: func(r picker.Request, n int, _ time.Duration) (stale []registrar.Server, all []registrar.Key) {
+					for _, id := range ids {
+						b := registrar.Server{Service: "s", InstanceID: id}
+						if len(all) < n && !slices.Contains(r.Exclude, b.Key()) {
+							stale, all = append(stale, b), append(all, b.Key())
+						}
+					}
+					return stale, all
+				},
+				HealthPath:  func(string) string { return "/h" },
+				HasSuitable: func(picker.Request, []registrar.Key) bool { return true },
+				Send: func(ctx context.Context, r *sender.Request) (*sender.Response, error) {
+					if slices.Contains(silent, r.Server.InstanceID) {
+						<-ctx.Done()
+						return nil, &sender.Error{Phase: sender.Waiting, Err: ctx.Err()}
+					}
+					return &sender.Response{Load: &sender.Load{Slots: 6}, Body: io.NopCloser(strings.NewReader(""))}, nil
+				},
+				Observe: func(registrar.Key, sender.Load) {},
+			})
+			var got []string
+			for _, k := range s.Probe(context.Background(), picker.Request{Service: "s", Late: tt.late}) {
+				got = append(got, k.InstanceID)
+			}
+			if !slices.Equal(got, tt.want) {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
