--- a/peridot-control/deliverer/deliverer.go
+++ b/peridot-control/deliverer/deliverer.go
@@ -3,9 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
-	"hash/fnv"
-	"slices"
 	"sync"
 	"time"
 
@@ -37,7 +34,9 @@
 	// WaitApplied waits until the log is applied here up to the index.
 	WaitApplied func(context.Context, uint64) error
 	// Leader returns the leader's address, "" if none is known, and whether this member is the leader.
-	Leader  func() (address string, self bool)
+	Leader func() (address string, self bool)
+	// Self returns this member.
+	Self    func() *delivererpb.ControlMember
 	Status  func() Status
 	History func() []arbiter.HistoryEntry
 	// ChangeMember changes the membership of the control cluster.
@@ -120,6 +119,8 @@
 	routingDeltas    routingDeltas
 
 	compressedServers compressedServers
+	compressedEntries compressedEntries
+	faults            *faultLog
 }
 
 type queuedEntry struct {
@@ -134,7 +135,7 @@
 	d := &Deliverer{
 		cfg: cfg, table: newTable(cfg.Now, cfg.EntryLease), cancel: cancel,
 		pending: make(map[string]*delivererpb.EntryMember), lastQueued: make(map[string]queuedEntry), renewSignal: make(chan struct{}, 1),
-		confirmedChanged: make(chan struct{}), clients: make(map[string]*leaderClient),
+		confirmedChanged: make(chan struct{}), clients: make(map[string]*leaderClient), faults: newFaultLog(),
 	}
 	d.wg.Go(func() { d.renewLoop(ctx) })
 	return d
@@ -153,6 +154,7 @@
 		return nil, twirp.NewError(twirp.Unavailable, "this member has not joined yet; ask another one")
 	}
 	d.queueRenewal(req)
+	d.faults.add(req.Faults)
 	if req.Revision == 0 || !d.isIsolated() {
 		d.waitForUpdate(ctx, req)
 	}
@@ -181,18 +183,15 @@
 	d.mu.Lock()
 	ok = d.cfg.Now().Sub(d.confirmed) < entriesMaxAge
 	d.mu.Unlock()
-	_, list = d.table.list()
-	return slices.DeleteFunc(list, func(m *delivererpb.EntryMember) bool { return !m.Synchronised || m.Stopping }), ok
+	return d.table.usable(), ok
 }
 
 // reply builds the reply to a Watch request and omits what the entry already holds.
 func (d *Deliverer) reply(req *delivererpb.WatchRequest, cur arbiter.Configuration, lease time.Duration) *delivererpb.WatchReply {
 	reply := &delivererpb.WatchReply{Revision: cur.Revision, LeaseMs: uint32(lease.Milliseconds())}
-	version, entries := d.table.list()
-	control := d.cfg.Status().Members
-	if reply.EntriesVersion = listsVersion(version, control); reply.EntriesVersion != req.EntriesVersion {
-		reply.Entries, reply.Control = entries, control
-	}
+	d.addLists(reply, req)
+	faults, faultsVersion := d.faults.since(listVersion(req.FaultsVersion), d.cfg.Now())
+	reply.Faults, reply.FaultsVersion = faults, uint64(faultsVersion)
 	d.addServers(reply, req.ServersVersion)
 	if cur.Revision <= req.Revision {
 		return reply
@@ -212,27 +211,27 @@
 	return reply
 }
 
-// listsVersion combines the version of the entries list with a hash of the control members' fields that entries use.
-func listsVersion(entries uint64, control []*delivererpb.ControlMember) uint64 {
-	h := fnv.New64a()
-	for _, m := range control {
-		fmt.Fprintf(h, "%s %s %s %t %t\n", m.InstanceId, m.Address, m.Role, m.Leader, m.Alive)
-	}
-	return entries ^ h.Sum64()
-}
-
 func (d *Deliverer) waitForUpdate(ctx context.Context, req *delivererpb.WatchRequest) {
 	timer := time.NewTimer(min(time.Duration(req.WaitMs)*time.Millisecond, maxWait))
 	defer timer.Stop()
-	entries, _ := d.table.list()
-	if d.hasUpdate(req) || listsVersion(entries, d.cfg.Status().Members) != req.EntriesVersion {
+	listsOutdated, batched := d.waitForLists(req)
+	if d.hasUpdate(req) || listsOutdated == nil {
 		return
 	}
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-d.cfg.Changed(req.Revision, req.ServersVersion):
-	case <-d.table.changedSince(entries):
+	case <-listsOutdated:
+		if !batched {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-d.cfg.Changed(req.Revision, req.ServersVersion):
+		case <-time.After(listBatchInterval):
+		}
 	}
 }
 
--- /dev/null
+++ b/peridot-control/deliverer/entries.go
@@ -0,0 +1,133 @@
+package deliverer
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"peridotswitch.example/common/delivererpb"
+	"peridotswitch.example/common/differ"
+)
+
+const (
+	// minCompressedEntries is the number of entries from which a list of them is compressed.
+	minCompressedEntries = 16
+	// listBatchInterval is how long changes of the list of entries are collected before they are sent. When hundreds of entries start or
+	// stop, each would otherwise be told of each other one separately.
+	listBatchInterval = 100 * time.Millisecond
+)
+
+// addLists adds the lists of entries and control members to the reply, as far as the entry doesn't hold them.
+func (d *Deliverer) addLists(reply *delivererpb.WatchReply, req *delivererpb.WatchRequest) {
+	control := d.cfg.Status().Members
+	if !req.AcceptsDeltas {
+		list := d.table.changesSince(0)
+		if reply.EntriesVersion = combinedVersion(list.version, control); reply.EntriesVersion != req.EntriesVersion {
+			reply.Entries, reply.Control = list.members, control
+		}
+		return
+	}
+	if reply.ControlVersion = controlVersion(control); reply.ControlVersion != req.ControlVersion {
+		reply.Control = control
+	}
+	held := listVersion(req.EntriesVersion)
+	changes := d.table.changesSince(held)
+	reply.EntriesVersion, reply.EntriesDelta, reply.EntriesPartial = uint64(changes.version), !changes.full, changes.partial
+	reply.EntriesGone = changes.gone
+	if len(changes.members) >= minCompressedEntries {
+		var err error
+		if reply.EntriesPacked, err = d.compressedEntries.get(held, changes); err == nil {
+			return
+		}
+		d.cfg.Log.Warn().Err(err).Msg("failed to compress the list of entries; sending it uncompressed")
+	}
+	reply.Entries = changes.members
+}
+
+// waitForLists returns a channel that is closed once the entry's list of entries is out of date, or nil if the reply should not wait for
+// that: the entry lacks the list of this leader or the current list of control members. batched means that the reply should include
+// the changes of the next listBatchInterval.
+func (d *Deliverer) waitForLists(req *delivererpb.WatchRequest) (outdated <-chan struct{}, batched bool) {
+	version, control := d.table.currentVersion(), d.cfg.Status().Members
+	held := listVersion(req.EntriesVersion)
+	switch {
+	case req.AcceptsDeltas && held.isComparable(version) && controlVersion(control) == req.ControlVersion:
+		return d.table.changedSince(held), true
+	case !req.AcceptsDeltas && combinedVersion(version, control) == req.EntriesVersion:
+		return d.table.changedSince(version), false
+	}
+	return nil, false
+}
+
+// controlVersion is a hash of the control members' fields that entries use.
+func controlVersion(control []*delivererpb.ControlMember) uint64 {
+	h := fnv.New64a()
+	for _, m := range control {
+		fmt.Fprintf(h, "%s %s %s %t %t\n", m.InstanceId, m.Address, m.Role, m.Leader, m.Alive)
+	}
+	return h.Sum64()
+}
+
+// combinedVersion is the version of both lists for entries that accept no deltas.
+func combinedVersion(entries listVersion, control []*delivererpb.ControlMember) uint64 {
+	return uint64(entries) ^ controlVersion(control)
+}
+
+// compressedEntries caches compressed lists of entries, so that each is compressed once for all entries that hold the same version.
+type compressedEntries struct {
+	mu sync.Mutex
+	// version is the version to which the lists in data lead, which are keyed by the version from which they lead.
+	version listVersion
+	data    map[listVersion][]byte
+}
+
+func (c *compressedEntries) get(held listVersion, changes *listChanges) (data []byte, err error) {
+	defer func() { err = errors.WithMessage(err, "compress entries") }()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if changes.full {
+		held = 0
+	}
+	if changes.version != c.version {
+		c.version, c.data = changes.version, make(map[listVersion][]byte)
+	}
+	if data = c.data[held]; data != nil {
+		return data, nil
+	}
+	slices.SortFunc(changes.members, compareIDs)
+	encoded, err := proto.Marshal(&delivererpb.EntryMembers{Entries: changes.members})
+	if err != nil {
+		return nil, err
+	}
+	data = differ.Encode(nil, encoded)
+	c.data[held] = data
+	return data, nil
+}
+
+// renewWithLeader sends a renewal to the leader at address and brings this member's copy of the list up to date.
+func (d *Deliverer) renewWithLeader(ctx context.Context, address string, req *delivererpb.RenewRequest) error {
+	req.EntriesVersion, req.AcceptsDeltas = uint64(d.table.currentVersion()), true
+	req.FaultsVersion = uint64(d.faults.leaderVersion())
+	reply, err := d.client(address).deliverer.Renew(ctx, req)
+	if err != nil {
+		return err
+	}
+	if err = d.cfg.WaitApplied(ctx, reply.Commit); err != nil {
+		return err
+	}
+	d.serverLeases.setCollector(address, reply.RenewsServers)
+	d.faults.addFromLeader(reply.Faults, listVersion(reply.FaultsVersion), d.cfg.Now())
+	if reply.EntriesVersion != req.EntriesVersion {
+		d.table.apply(&listChanges{
+			version: listVersion(reply.EntriesVersion), full: !reply.EntriesDelta, partial: reply.EntriesPartial,
+			members: reply.Entries, gone: reply.EntriesGone,
+		})
+	}
+	return nil
+}
--- /dev/null
+++ b/peridot-control/deliverer/faults_test.go
@@ -0,0 +1,76 @@
+package deliverer
+
+import (
+	"testing"
+	"time"
+
+	"peridotswitch.example/common/delivererpb"
+)
+
+func report(id string, n uint32) []*delivererpb.FaultReport {
+	return []*delivererpb.FaultReport{{Service: "s", InstanceId: id, Incarnation: 1, Faults: n}}
+}
+
+func TestFaultReportsReachOtherMembersOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	leader, member := newFaultLog(), newFaultLog()
+	_, leaderVersion := leader.since(0, now)
+	member.addFromLeader(nil, leaderVersion, now)
+	_, watcher := member.since(0, now)
+
+	member.add(report("i-1", 1))
+	member.add(report("i-1", 2))
+	leader.publish(member.takePending(), now)
+	if again := member.takePending(); len(again) > 0 {
+		t.Errorf("%d reports are sent to the leader twice", len(again))
+	}
+	reports, version := leader.since(member.leaderVersion(), now)
+	member.addFromLeader(reports, version, now)
+	got, watcher := member.since(watcher, now)
+	if len(got) != 1 || got[0].Faults != 3 {
+		t.Fatalf("reports are %v, want three faults of i-1", got)
+	}
+	if got, _ = member.since(watcher, now); len(got) > 0 {
+		t.Error("a report is passed on twice")
+	}
+	if reports, _ = leader.since(member.leaderVersion(), now); len(reports) > 0 {
+		t.Error("a report is sent to a member twice")
+	}
+}
+
+// Fault reports say little about a server's present state once they are old, and nothing to an entry that has just turned to this member.
+func TestOldFaultReportsAreNotPassedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := newFaultLog()
+	_, start := f.since(0, now)
+	f.publish(report("i-1", 1), now)
+	tests := map[string]struct {
+		held listVersion
+		at   time.Time
+		want int
+	}{
+		"recent":                     {start, now.Add(faultReportAge), 1},
+		"old":                        {start, now.Add(faultReportAge + time.Millisecond), 0},
+		"version of another member":  {newListVersion() + 1<<listCountBits, now, 0},
+		"an entry without a version": {0, now, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got, _ := f.since(test.held, test.at); len(got) != test.want {
+				t.Errorf("%d reports, want %d", len(got), test.want)
+			}
+		})
+	}
+}
+
+func TestFaultReportsAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := newFaultLog()
+	for i := range 2 * maxFaultReports {
+		f.publish(report("i", 1), now)
+		f.add([]*delivererpb.FaultReport{{InstanceId: "i", Incarnation: uint64(i), Faults: 1}})
+	}
+	if len(f.reports) > maxFaultReports || len(f.pending) > maxFaultReports {
+		t.Errorf("%d reports and %d pending ones are kept, want at most %d", len(f.reports), len(f.pending), maxFaultReports)
+	}
+}
--- a/peridot-control/deliverer/operator.go
+++ b/peridot-control/deliverer/operator.go
@@ -176,7 +176,7 @@
 
 // allListed reports whether the table lists every entry that may be serving calls.
 func (d *Deliverer) allListed() bool {
-	_, entries := d.table.list()
+	entries := d.table.list()
 	listed := make(map[string]bool)
 	for _, m := range entries {
 		listed[m.InstanceId] = true
@@ -247,7 +247,7 @@
 		}
 	}
 	st := d.cfg.Status()
-	_, entries := d.table.list()
+	entries := d.table.list()
 	lowest, _ := d.table.lowestRevision(d.cfg.Current().Revision)
 	return &operatorpb.StatusReply{
 		Revision:        d.cfg.Current().Revision,
--- a/peridot-control/deliverer/renewer.go
+++ b/peridot-control/deliverer/renewer.go
@@ -61,7 +61,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if !d.requeueForNewLeader() && d.cfg.Now().Sub(last) < renewInterval {
+			if !d.requeueForNewLeader() && d.cfg.Now().Sub(last) < d.currentRenewInterval() {
 				continue
 			}
 		case <-d.renewSignal:
@@ -73,6 +73,14 @@
 	}
 }
 
+// currentRenewInterval is shorter while there are fault reports, which are useful only while they are recent.
+func (d *Deliverer) currentRenewInterval() time.Duration {
+	if d.faults.isActive(d.cfg.Now()) {
+		return faultRenewInterval
+	}
+	return renewInterval
+}
+
 // requeueForNewLeader reports whether there is a new leader, and if so queues renewals of all entries that watch here: a new leader
 // accepts no change before it knows which revision a majority of entries hold.
 func (d *Deliverer) requeueForNewLeader() bool {
@@ -110,11 +118,12 @@
 	batch := d.pending
 	d.pending = make(map[string]*delivererpb.EntryMember)
 	d.mu.Unlock()
-	req := &delivererpb.RenewRequest{}
+	req := &delivererpb.RenewRequest{Faults: d.faults.takePending(), RenewedServers: d.serverLeases.takePending()}
 	for _, m := range batch {
 		req.Entries = append(req.Entries, m)
 	}
 	if err := d.sendRenewal(ctx, address, self, req); err != nil {
+		d.serverLeases.requeue(req.RenewedServers)
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		for id, m := range batch {
@@ -138,18 +147,7 @@
 		_, err := d.Renew(ctx, req)
 		return err
 	}
-	req.EntriesVersion, _ = d.table.list()
-	reply, err := d.client(address).deliverer.Renew(ctx, req)
-	if err != nil {
-		return err
-	}
-	if err = d.cfg.WaitApplied(ctx, reply.Commit); err != nil {
-		return err
-	}
-	if reply.EntriesVersion != req.EntriesVersion {
-		d.table.replace(reply.EntriesVersion, reply.Entries)
-	}
-	return nil
+	return d.renewWithLeader(ctx, address, req)
 }
 
 // Renew implements delivererpb.Deliverer; only the leader answers.
@@ -169,10 +167,16 @@
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
-	version, entries := d.table.list()
-	reply := &delivererpb.RenewReply{Commit: commit, EntriesVersion: version}
-	if version != req.EntriesVersion {
-		reply.Entries = entries
+	d.serverLeases.renew(req.RenewedServers, d.cfg.Now())
+	d.faults.publish(req.Faults, d.cfg.Now())
+	faults, faultsVersion := d.faults.since(listVersion(req.FaultsVersion), d.cfg.Now())
+	reply := &delivererpb.RenewReply{Commit: commit, EntriesVersion: uint64(d.table.currentVersion()), Faults: faults, FaultsVersion: uint64(faultsVersion), RenewsServers: true}
+	if req.AcceptsDeltas {
+		c := d.table.changesSince(listVersion(req.EntriesVersion))
+		reply.EntriesVersion, reply.Entries, reply.EntriesGone = uint64(c.version), c.members, c.gone
+		reply.EntriesDelta, reply.EntriesPartial = !c.full, c.partial
+	} else if reply.EntriesVersion != req.EntriesVersion {
+		reply.Entries = d.table.list()
 	}
 	return reply, nil
 }
--- a/peridot-control/deliverer/servers.go
+++ b/peridot-control/deliverer/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -25,12 +26,72 @@
 type serverLeases struct {
 	mu      sync.Mutex
 	renewed map[string]time.Time
+	// pending holds the servers whose announcements were received here and that the leader has not been told of.
+	pending map[string]bool
+	// collector is the address of the leader, if it accepts servers that other members have collected.
+	collector string
 	// checked is when the leases were last checked for expiry.
 	checked time.Time
 	// expiring is set while a command that marks servers as lost is in progress.
 	expiring bool
 }
 
+// queue adds a server to the next renewal with the leader, and reports false if that leader accepts none.
+func (l *serverLeases) queue(id, leader string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.collector != leader {
+		return false
+	}
+	if l.pending == nil {
+		l.pending = make(map[string]bool)
+	}
+	l.pending[id] = true
+	return true
+}
+
+// takePending returns the queued servers and empties the queue.
+func (l *serverLeases) takePending() (ids []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.pending {
+		ids = append(ids, id)
+	}
+	clear(l.pending)
+	return ids
+}
+
+// setCollector records whether the leader at address accepts servers that were collected here.
+func (l *serverLeases) setCollector(address string, accepts bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.collector = ""
+	if accepts {
+		l.collector = address
+	}
+}
+
+// requeue adds servers again whose renewal with the leader failed.
+func (l *serverLeases) requeue(ids []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range ids {
+		l.pending[id] = true
+	}
+}
+
+// renew gives the servers a full lease.
+func (l *serverLeases) renew(ids []string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.renewed == nil {
+		l.renewed = make(map[string]time.Time)
+	}
+	for _, id := range ids {
+		l.renewed[id] = now
+	}
+}
+
 // renewAllServers gives every backend server a full lease when this member becomes the leader, because it doesn't know what the
 // previous leader received.
 func (d *Deliverer) renewAllServers() {
@@ -44,24 +105,44 @@
 	}
 }
 
-// HandleAnnouncement handles an announcement of a backend server, here on the leader or by forwarding it there, and returns the
-// leader's peer address. A change is committed by a majority of control members before it returns.
-func (d *Deliverer) HandleAnnouncement(ctx context.Context, s *arbiter.Server) (leader string, err error) {
+// HandleAnnouncement handles an announcement of a backend server and returns the peer address of the member to which the server should
+// send its next one. A change is committed by a majority of control members before it returns; announcements that change nothing are
+// collected for the leader.
+func (d *Deliverer) HandleAnnouncement(ctx context.Context, s *arbiter.Server) (next string, err error) {
 	defer func() { err = errors.WithMessagef(err, "hear of backend server %s", s.InstanceID) }()
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	address, self := d.cfg.Leader()
-	if self {
-		return address, d.applyAnnouncement(ctx, s)
-	}
-	if address == "" {
+	next = d.nextAnnouncementAddress(s.AvailabilityZone)
+	switch {
+	case self:
+		return next, d.applyAnnouncement(ctx, s)
+	case address == "":
 		return "", errNoLeader
+	case !d.cfg.NeedsUpdate(s) && !d.isIsolated() && d.serverLeases.queue(s.InstanceID, address):
+		return next, nil
 	}
-	reply, err := d.client(address).deliverer.Announce(ctx, &delivererpb.Announcement{Server: encodeServer(s)})
-	if err != nil {
-		return "", err
+	_, err = d.client(address).deliverer.Announce(ctx, &delivererpb.Announcement{Server: encodeServer(s)})
+	return next, err
+}
+
+// nextAnnouncementAddress returns the address of a member in the availability zone, this one if it is there, which keeps announcements
+// within the zone and most of them off the leader; that of this member if the zone has none.
+func (d *Deliverer) nextAnnouncementAddress(zone string) string {
+	own := d.cfg.Self()
+	if own.AvailabilityZone == zone {
+		return own.Address
+	}
+	var local []string
+	for _, m := range d.cfg.Status().Members {
+		if m.AvailabilityZone == zone && m.Alive && !m.Leader && m.Role == "voter" {
+			local = append(local, m.Address)
+		}
 	}
-	return reply.Leader, nil
+	if len(local) == 0 {
+		return own.Address
+	}
+	return local[rand.IntN(len(local))]
 }
 
 // Announce implements delivererpb.Deliverer; only the leader answers.
@@ -82,12 +163,7 @@
 
 // applyAnnouncement renews the server's lease and proposes the announcement to the log if it changes the table.
 func (d *Deliverer) applyAnnouncement(ctx context.Context, s *arbiter.Server) error {
-	d.serverLeases.mu.Lock()
-	if d.serverLeases.renewed == nil {
-		d.serverLeases.renewed = make(map[string]time.Time)
-	}
-	d.serverLeases.renewed[s.InstanceID] = d.cfg.Now()
-	d.serverLeases.mu.Unlock()
+	d.serverLeases.renew([]string{s.InstanceID}, d.cfg.Now())
 	if !d.cfg.NeedsUpdate(s) {
 		// What is applied here is committed, even if another member leads by now, so there is nothing to propose. Only the leader may
 		// accept the renewal.
--- a/peridot-control/deliverer/servers_test.go
+++ b/peridot-control/deliverer/servers_test.go
@@ -94,3 +94,92 @@
 		})
 	}
 }
+
+// At 900 backend servers, 600 unchanged announcements a second reach control. Members other than the leader must collect them for it, but
+// only while they can tell that nothing has changed.
+func TestUnchangedAnnouncementsAreCollectedForTheLeader(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := map[string]struct {
+		changed   bool
+		confirmed time.Duration
+		collector string
+		collected bool
+	}{
+		"unchanged":                              {false, 0, "127.0.0.1:1", true},
+		"changed":                                {true, 0, "127.0.0.1:1", false},
+		"unchanged at an isolated member":        {false, 2 * isolationTimeout, "127.0.0.1:1", false},
+		"unchanged, but the leader is older":     {false, 0, "", false},
+		"unchanged, but there is another leader": {false, 0, "127.0.0.1:2", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := &Deliverer{
+				cfg: Config{
+					Now:         func() time.Time { return now },
+					NeedsUpdate: func(*arbiter.Server) bool { return test.changed },
+					Leader:      func() (string, bool) { return "127.0.0.1:1", false },
+					Self:        func() *delivererpb.ControlMember { return &delivererpb.ControlMember{AvailabilityZone: "a"} },
+				},
+				clients: make(map[string]*leaderClient), confirmed: now.Add(-test.confirmed),
+			}
+			d.serverLeases.setCollector(test.collector, true)
+			// Nothing listens at the leader's address, so that a forwarded announcement fails.
+			_, err := d.HandleAnnouncement(context.Background(), &arbiter.Server{InstanceID: "i-1", AvailabilityZone: "a"})
+			if collected := err == nil; collected != test.collected {
+				t.Errorf("collected is %t (%v), want %t", collected, err, test.collected)
+			}
+			if queued := len(d.serverLeases.takePending()) == 1; queued != test.collected {
+				t.Errorf("queued is %t, want %t", queued, test.collected)
+			}
+		})
+	}
+}
+
+// Servers that fail to be renewed with the leader stay queued, and the leader gives those that arrive a full lease.
+func TestCollectedServersKeepTheirLease(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var member, leader serverLeases
+	member.setCollector("leader", true)
+	member.queue("i-1", "leader")
+	failed := member.takePending()
+	member.queue("i-2", "leader")
+	member.requeue(failed)
+	leader.renew(member.takePending(), now)
+	if len(leader.renewed) != 2 || leader.renewed["i-1"] != now {
+		t.Errorf("leases are %v, want those of i-1 and i-2", leader.renewed)
+	}
+}
+
+// Announcements stay in the backend server's availability zone and off the leader where other members are there.
+func TestNextAnnouncementAddress(t *testing.T) {
+	member := func(address, zone, role string, leader, alive bool) *delivererpb.ControlMember {
+		return &delivererpb.ControlMember{Address: address, AvailabilityZone: zone, Role: role, Leader: leader, Alive: alive}
+	}
+	tests := map[string]struct {
+		zone    string
+		members []*delivererpb.ControlMember
+		want    string
+	}{
+		"this member's zone":        {"a", nil, "self"},
+		"a zone with a member":      {"b", []*delivererpb.ControlMember{member("b-1", "b", "voter", false, true)}, "b-1"},
+		"a zone without a member":   {"c", []*delivererpb.ControlMember{member("b-1", "b", "voter", false, true)}, "self"},
+		"a zone with a dead member": {"b", []*delivererpb.ControlMember{member("b-1", "b", "voter", false, false)}, "self"},
+		"a zone with a spare":       {"b", []*delivererpb.ControlMember{member("b-1", "b", "spare", false, true)}, "self"},
+		"a zone with the leader":    {"b", []*delivererpb.ControlMember{member("b-1", "b", "voter", true, true)}, "self"},
+		"leader and another member": {"b", []*delivererpb.ControlMember{member("b-1", "b", "voter", true, true), member("b-2", "b", "voter", false, true)}, "b-2"},
+		"a server without a zone":   {"", []*delivererpb.ControlMember{member("b-1", "b", "voter", false, true)}, "self"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := &Deliverer{cfg: Config{
+				Self: func() *delivererpb.ControlMember {
+					return &delivererpb.ControlMember{Address: "self", AvailabilityZone: "a"}
+				},
+				Status: func() Status { return Status{Members: test.members} },
+			}}
+			if got := d.nextAnnouncementAddress(test.zone); got != test.want {
+				t.Errorf("address is %s, want %s", got, test.want)
+			}
+		})
+	}
+}
--- a/peridot-control/deliverer/table_test.go
+++ b/peridot-control/deliverer/table_test.go
@@ -28,7 +28,7 @@
 			now = now.Add(test.silence)
 			tab.renew(&delivererpb.EntryMember{InstanceId: "renewing"})
 			tab.expire()
-			_, list := tab.list()
+			list := tab.list()
 			if want := 1 + map[bool]int{true: 1}[test.listed]; len(list) != want {
 				t.Errorf("%d entries are listed, want %d", len(list), want)
 			}
--- a/peridot-control/supervisor/supervisor.go
+++ b/peridot-control/supervisor/supervisor.go
@@ -217,6 +217,7 @@
 		ReadIndex:     s.replicator.ReadIndex,
 		WaitApplied:   s.replicator.WaitApplied,
 		Leader:        s.leader,
+		Self:          s.self,
 		Status:        s.status,
 		History:       s.store.history,
 		ChangeMember:  s.changeMember,
@@ -294,6 +295,10 @@
 	return s.dialAddress(st.Leader), false
 }
 
+func (s *Supervisor) self() *delivererpb.ControlMember {
+	return &delivererpb.ControlMember{InstanceId: s.cfg.InstanceID, Address: s.cfg.Advertise, AvailabilityZone: s.cfg.AvailabilityZone}
+}
+
 func (s *Supervisor) propose(ctx context.Context, cmd arbiter.Command) (changeResult arbiter.ChangeResult, err error) {
 	defer func() { s.countCommand(cmd, changeResult, err) }()
 	text, err := json.Marshal(cmd)
--- a/peridot-entry/dispatcher/execution.go
+++ b/peridot-entry/dispatcher/execution.go
@@ -123,6 +123,7 @@
 // pickServer waits for a permit and picks a backend server. A deferrable call keeps trying until a server has free slots.
 func (x *execution) pickServer(ctx context.Context) (*picker.Choice, error) {
 	deferrable := x.call.Rule.Priority == parser.Deferrable
+	allowSuspects := false
 	for {
 		if x.permit == nil {
 			var err error
@@ -138,6 +139,8 @@
 			Rank:       x.call.Rule.Rank,
 			Late:       x.isLate(),
 			FastOnly:   x.wantsFastOnly(),
+
+			AllowSuspects: allowSuspects,
 		}
 		if x.d.cfg.Probe != nil {
 			req.Candidates = x.d.cfg.Probe(ctx, req)
@@ -149,6 +152,11 @@
 		if errors.Is(err, picker.ErrFull) && x.waitForSlot(ctx) {
 			continue
 		}
+		if errors.Is(err, picker.ErrOnlySuspects) && !x.isLate() {
+			// Rather than refuse the call, send it to a server that may fail it.
+			allowSuspects = true
+			continue
+		}
 		x.releasePermit(errors.Is(err, picker.ErrFull))
 		if !deferrable || x.attemptCount > 0 || !errors.Is(err, picker.ErrFull) {
 			return nil, err
--- a/peridot-entry/follower/control.go
+++ b/peridot-entry/follower/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"net"
 	"net/http"
 	"slices"
@@ -28,6 +29,8 @@
 	reachTimeout       = 300 * time.Millisecond
 	reachDialTimeout   = 60 * time.Millisecond
 	reachRetryInterval = 25 * time.Millisecond
+	// memberRetryDelay is how long a member that has failed is not preferred to a working one.
+	memberRetryDelay = 5 * time.Second
 )
 
 // watcher watches one control member at a time and changes to another one when that fails.
@@ -36,16 +39,20 @@
 	addresses []string
 	current   int
 	client    *http.Client
-	// entriesVersion is the version of the entry list held, as numbered by the current member.
-	entriesVersion  uint64
+	// entries is the list of entries held. controlVersion and faultsVersion are numbered by the current member.
+	entries         entryList
+	controlVersion  uint64
+	faultsVersion   uint64
 	lastWatchFailed bool
 	// failedMembers holds the addresses of members that have failed since the last successful watch.
 	failedMembers map[string]bool
-	interrupted   atomic.Bool
+	// lastFailures holds when each member last failed.
+	lastFailures map[string]time.Time
+	interrupted  atomic.Bool
 }
 
 func (f *Follower) followControl(ctx context.Context) {
-	w := &watcher{f: f, addresses: slices.Clone(f.cfg.Control), failedMembers: make(map[string]bool)}
+	w := &watcher{f: f, addresses: slices.Clone(f.cfg.Control), failedMembers: make(map[string]bool), lastFailures: make(map[string]time.Time)}
 	for _, c := range f.cfg.InstanceID {
 		// Spreads the entries over the members.
 		w.current += int(c)
@@ -69,7 +76,7 @@
 
 // switchMember changes from the current member, which has failed, to one that has not. It pauses first if all have failed.
 func (w *watcher) switchMember(ctx context.Context) {
-	w.failedMembers[w.address()] = true
+	w.failedMembers[w.address()], w.lastFailures[w.address()] = true, time.Now()
 	if len(w.candidates()) == 0 {
 		clear(w.failedMembers)
 		select {
@@ -147,7 +154,12 @@
 		w.client.CloseIdleConnections()
 	}
 	w.current++
-	w.entriesVersion = 0
+	w.reconnect()
+}
+
+// reconnect starts with a new HTTP client, and thus a new connection, at the current member.
+func (w *watcher) reconnect() {
+	w.controlVersion, w.faultsVersion = 0, 0
 	w.client = &http.Client{Transport: &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableCompression: true,
@@ -171,7 +183,8 @@
 func (w *watcher) watch(ctx context.Context) error {
 	f := w.f
 	req := f.cfg.NewWatchRequest()
-	req.EntriesVersion, req.ServersVersion = w.entriesVersion, f.serversVersion
+	req.EntriesVersion, req.ControlVersion, req.AcceptsDeltas = w.entries.version, w.controlVersion, true
+	req.ServersVersion, req.FaultsVersion = f.serversVersion, w.faultsVersion
 	if cur := f.Current(); cur != nil {
 		req.Revision = cur.Revision
 	}
@@ -219,9 +232,18 @@
 		until := sent.Add(min(maxLease, time.Duration(reply.LeaseMs)*time.Millisecond))
 		f.controlExpires.Store(&until)
 	}
-	if reply.EntriesVersion != w.entriesVersion {
-		f.entries.Store(&reply.Entries)
-		w.entriesVersion = reply.EntriesVersion
+	w.faultsVersion = reply.FaultsVersion
+	if f.cfg.OnFaults != nil && len(reply.Faults) > 0 {
+		f.cfg.OnFaults(reply.Faults)
+	}
+	if changed, err := w.entries.apply(reply); err != nil {
+		return err
+	} else if changed {
+		list := w.entries.sorted()
+		f.entries.Store(&list)
+	}
+	if len(reply.Control) > 0 {
+		w.controlVersion = reply.ControlVersion
 		w.updateMembers(reply.Control)
 	}
 	return nil
@@ -273,11 +295,11 @@
 	return d, nil
 }
 
-// updateMembers adds the members that control lists. If the current member is the leader and another voter is alive, it changes to
-// the next member, to keep load off the leader.
+// updateMembers adds the members that control lists. It changes to another member if that is better: not the leader, which has the most
+// work, and in this entry's availability zone.
 func (w *watcher) updateMembers(control []*delivererpb.ControlMember) {
-	others := 0
-	onLeader := false
+	var others, sameZone []int
+	onLeader, inZone := false, false
 	for _, m := range control {
 		if m.Role == "spare" {
 			continue
@@ -285,14 +307,30 @@
 		if !slices.Contains(w.addresses, m.Address) {
 			w.addresses = append(w.addresses, m.Address)
 		}
-		switch {
+		isLocal := w.f.cfg.AvailabilityZone != "" && m.AvailabilityZone == w.f.cfg.AvailabilityZone
+		switch i := slices.Index(w.addresses, m.Address); {
 		case m.Address == w.address():
-			onLeader = m.Leader
-		case m.Alive && m.Role == "voter":
-			others++
+			onLeader, inZone = m.Leader, isLocal
+		case m.Leader || !m.Alive || time.Since(w.lastFailures[m.Address]) < memberRetryDelay:
+		case isLocal:
+			sameZone = append(sameZone, i)
+		case m.Role == "voter":
+			others = append(others, i)
 		}
 	}
-	if onLeader && others > 0 {
-		w.advance()
+	switch {
+	case len(sameZone) > 0 && (onLeader || !inZone):
+		w.changeTo(sameZone)
+	case len(others) > 0 && onLeader:
+		w.changeTo(others)
 	}
 }
+
+// changeTo changes to one of the members with the given indexes; entries choose different ones.
+func (w *watcher) changeTo(members []int) {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(w.f.cfg.InstanceID))
+	w.client.CloseIdleConnections()
+	w.current = members[int(h.Sum32())%len(members)]
+	w.reconnect()
+}
--- a/peridot-entry/follower/follower.go
+++ b/peridot-entry/follower/follower.go
@@ -18,6 +18,8 @@
 type Config struct {
 	// InstanceID is this entry's name in the inventory.
 	InstanceID string
+	// AvailabilityZone is this entry's zone, whose control members it prefers; empty for no preference.
+	AvailabilityZone string
 	// Control lists the addresses of control members, as ip:port.
 	Control []string
 	// Dir is the directory that stores the newest revision across restarts; empty stores nothing.
@@ -29,6 +31,8 @@
 	// OnServers is called with changes to control's table of backend servers, or with the full table if full is set. It is nil if
 	// backend servers announce themselves to entries.
 	OnServers func(changed []*delivererpb.BackendServer, full bool)
+	// OnFaults is called with the faults of backend servers that other entries have reported; nil for no call.
+	OnFaults func([]*delivererpb.FaultReport)
 	// Seeds returns further addresses of control members. It is called before each watch, as the list may change; nil for none.
 	Seeds func() []string
 	// ParseRouting parses routing documents; nil means parser.ParseRouting.
--- /dev/null
+++ b/peridot-entry/picker/faults.go
@@ -0,0 +1,134 @@
+package picker
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"peridotswitch.example/peridot-entry/registrar"
+)
+
+// FaultReport counts the faults of one incarnation of a backend server: calls that failed at it or took much longer than usual.
+type FaultReport struct {
+	Key         registrar.Key
+	Incarnation uint64
+	Faults      int
+}
+
+const (
+	// faultHalfLife is the time in which a fault loses half its weight.
+	faultHalfLife = 2 * time.Second
+	// suspectRatio is the share of a server's calls, as estimated from this entry's, whose failure makes the server suspect.
+	suspectRatio = 0.12
+	// A server is suspect for a random time between minSuspectTime and maxSuspectTime after its last fault.
+	minSuspectTime = 2 * time.Second
+	maxSuspectTime = 12 * time.Second
+	// maxSuspectShare is the share of a service's servers above which suspicions are ignored.
+	maxSuspectShare = 0.7
+	// stalledLatencies is the number of median latencies after which a call counts as a fault.
+	stalledLatencies = 2.5
+	// maxFaultyServers is the number of servers with new faults above which this entry's own network is the likely cause.
+	maxFaultyServers = 8
+	// recentLatencies is how many latencies of responses a service's median is computed from, minRecentLatencies the least number.
+	recentLatencies    = 32
+	minRecentLatencies = 8
+)
+
+// decayed is a number of events whose weight halves with each faultHalfLife.
+type decayed struct {
+	sum float64
+	at  time.Time
+}
+
+func (d *decayed) value(now time.Time) float64 {
+	if d.sum == 0 {
+		return 0
+	}
+	return d.sum * math.Exp2(-float64(now.Sub(d.at))/float64(faultHalfLife))
+}
+
+func (d *decayed) add(n float64, now time.Time) { d.sum, d.at = d.value(now)+n, now }
+
+// isSuspect reports whether the server is to be avoided because of recent faults.
+func (s *server) isSuspect(now time.Time) bool { return now.Before(s.suspectUntil) }
+
+// callsPerServer estimates the decayed number of calls that all entries have sent to each server.
+func (g *group) callsPerServer(now time.Time) float64 {
+	return g.calls.value(now) * float64(g.entries()) / float64(max(len(g.servers), 1))
+}
+
+// addFaults adds faults to a server's and decides whether it becomes or stays suspect. The times for which entries avoid it differ, so
+// that at first only a few try it again, whose reports keep the others away if it has not recovered.
+func (g *group) addFaults(s *server, n int, now time.Time) {
+	s.faults.add(float64(n), now)
+	if !s.isSuspect(now) && s.faults.value(now) < suspectRatio*g.callsPerServer(now) {
+		return
+	}
+	until := now.Add(minSuspectTime + rand.N(maxSuspectTime-minSuspectTime))
+	if until.After(s.suspectUntil) {
+		s.suspectUntil = until
+	}
+}
+
+// isStalled reports whether an attempt takes much longer than usual for the service.
+func (g *group) isStalled(c *Choice, age time.Duration) bool {
+	return g.medianLatency > 0 && float64(age) > stalledLatencies*g.medianLatency*max(c.slowdown, 1)
+}
+
+// recordFault counts an attempt as a fault of its server, once.
+func (g *group) recordFault(c *Choice, now time.Time) {
+	if c.faulty {
+		return
+	}
+	c.faulty = true
+	c.server.unreported++
+	g.addFaults(c.server, 1, now)
+}
+
+// TakeFaults returns the faults that this entry has seen since the last call, which count attempts in flight too.
+func (p *Picker) TakeFaults() (reports []FaultReport) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, g := range p.services {
+		reports = append(reports, g.takeFaults(p.cfg.Now())...)
+	}
+	if len(reports) > maxFaultyServers {
+		return nil
+	}
+	return reports
+}
+
+func (g *group) takeFaults(now time.Time) (reports []FaultReport) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.servers {
+		for c := s.first; c != nil && g.isStalled(c, now.Sub(c.begin)); c = c.next {
+			g.recordFault(c, now)
+		}
+		if s.unreported > 0 {
+			reports = append(reports, FaultReport{s.announced.Key(), s.announced.Incarnation, s.unreported})
+			s.reported += s.unreported
+			s.unreported = 0
+		}
+	}
+	return reports
+}
+
+// ObserveFaults records the faults that all entries have reported, this one included.
+func (p *Picker) ObserveFaults(reports []FaultReport) {
+	for _, r := range reports {
+		g := p.group(r.Key.Service)
+		g.mu.Lock()
+		for _, s := range g.servers {
+			if s.announced.InstanceID != r.Key.InstanceID || s.announced.Incarnation != r.Incarnation {
+				continue
+			}
+			own := min(s.reported, r.Faults)
+			s.reported -= own
+			if r.Faults > own {
+				g.addFaults(s, r.Faults-own, p.cfg.Now())
+			}
+		}
+		g.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/peridot-entry/picker/faults_test.go
@@ -0,0 +1,115 @@
+package picker
+
+import (
+	"testing"
+	"time"
+
+	"peridotswitch.example/peridot-entry/registrar"
+)
+
+// The size of a zone of a large deployment: each entry sends about one call a second to each service, so that it meets a faulty server
+// every few seconds at most.
+const (
+	largeEntries = 90
+	largeServers = 60
+	// reportInterval and reportDelay are those of fault reports through control.
+	reportInterval = 500 * time.Millisecond
+	reportDelay    = 400 * time.Millisecond
+	largeRate      = 1.2 * largeEntries
+)
+
+// With faults at a part of the servers, which no entry could detect by its own calls, reports of all entries must keep most calls away
+// from them after a second and a half.
+func TestEntriesAvoidServersWhoseFaultsOthersReport(t *testing.T) {
+	tests := map[string]struct {
+		impair func(*simServer)
+		share  float64
+	}{
+		"three in five servers lose two in five responses": {func(srv *simServer) { srv.faultRate = 0.4 }, 0.6},
+		"one in six fails nearly every second call":        {func(srv *simServer) { srv.faultRate = 0.45 }, 0.16},
+		"two in five are twelve times as slow":             {func(srv *simServer) { srv.stretch = 12 }, 0.4},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			run := func(shared bool) (share float64) {
+				const seeds = 5
+				for seed := range uint64(seeds) {
+					s := newSimOf(seed, Expected, largeEntries, largeServers)
+					s.after(5*time.Second, func() {
+						for i := range int(tt.share * largeServers) {
+							tt.impair(s.servers[i])
+						}
+					})
+					if shared {
+						s.shareFaults(reportInterval, reportDelay)
+					}
+					s.startCalls(steady(largeRate), 12*time.Second)
+					s.run(20 * time.Second)
+					share += s.share(7, 12) / seeds
+				}
+				return share
+			}
+			without, with := run(false), run(true)
+			t.Logf("%.3f of the calls met their objective with fault reports, %.3f without", with, without)
+			if with < impairedShare || with <= without {
+				t.Errorf("%.3f of the calls met their objective with fault reports, want at least %.2f and more than the %.3f without", with, impairedShare, without)
+			}
+		})
+	}
+}
+
+// Rare faults of many servers must not take capacity away, and faults everywhere no server at all.
+func TestFaultsEverywhereExcludeNoServer(t *testing.T) {
+	tests := map[string]struct{ faultRate, minShare float64 }{
+		"one call in forty at all servers":  {0.025, 0.95},
+		"every second call at all servers":  {0.5, 0.45},
+		"one call in a thousand everywhere": {0.001, 0.97},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				s := newSimOf(seed, Expected, largeEntries, largeServers)
+				for _, srv := range s.servers {
+					srv.faultRate = tt.faultRate
+				}
+				s.shareFaults(reportInterval, reportDelay)
+				s.startCalls(steady(largeRate), 10*time.Second)
+				s.run(20 * time.Second)
+				if got := s.share(2, 10); got < tt.minShare {
+					t.Errorf("seed %d: %.3f of the calls met their objective, want at least %.2f", seed, got, tt.minShare)
+				}
+			}
+		})
+	}
+}
+
+// An entry's own reports come back to it and must not count twice; those of an earlier incarnation must not count at all.
+func TestReportsCountOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	view := []registrar.Server{{Service: "s", InstanceID: "i", Incarnation: 2, State: registrar.Ready, Slots: 6, Connections: 100}}
+	p := New(Config{Policy: Expected, Servers: func(string) []registrar.Server { return view }, Now: func() time.Time { return now }})
+	c, err := p.Pick(Request{Service: "s"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Done(Result{Status: 500, Latency: time.Millisecond})
+	reports := p.TakeFaults()
+	if len(reports) != 1 || reports[0].Faults != 1 || reports[0].Incarnation != 2 {
+		t.Fatalf("reports are %+v, want one fault of incarnation 2", reports)
+	}
+	if again := p.TakeFaults(); len(again) > 0 {
+		t.Errorf("a fault was reported twice: %+v", again)
+	}
+	s := p.group("s").servers[0]
+	tests := []struct {
+		incarnation uint64
+		want        float64
+	}{{2, 1}, {1, 1}, {2, 2}}
+	for i, tt := range tests {
+		reports[0].Incarnation = tt.incarnation
+		p.ObserveFaults(reports)
+		if got := s.faults.value(now); got != tt.want {
+			t.Errorf("after report %d the server has %g faults, want %g", i, got, tt.want)
+		}
+	}
+}
--- a/peridot-entry/picker/group.go
+++ b/peridot-entry/picker/group.go
@@ -22,7 +22,7 @@
 	minPreferred   = 3
 	// subsetSize is how many servers of a service an entry sends calls to under Expected when there are more than subsetThreshold:
 	// enough to choose from, and few enough that the entry's connections to them stay in use.
-	subsetSize      = 16
+	subsetSize      = 8
 	subsetThreshold = 32
 	// reservedSlots is how many slots of a server must be free for a deferrable call to join it, so that interactive calls find some.
 	reservedSlots = 2
@@ -46,8 +46,9 @@
 
 // group is the state of one service's backend servers as this entry knows it.
 type group struct {
-	mu     sync.Mutex
-	policy Policy
+	mu      sync.Mutex
+	policy  Policy
+	entries func() int
 	// view is the registrar's list that servers was made from.
 	view    []registrar.Server
 	servers []*server
@@ -68,6 +69,14 @@
 	// leastUrgent is the least urgent rank among the calls that use the service, as of leastUrgentAt.
 	leastUrgent   int
 	leastUrgentAt time.Time
+	// recent holds the latest latencies of responses, divided by the server's slowdown, in a ring; recentCount counts all of them.
+	recent      [recentLatencies]float64
+	recentCount int
+	// calls is the decayed number of this entry's calls.
+	calls decayed
+	// suspects is the number of servers that are suspect. suspectsIgnored is set while so many servers are suspect that their faults must have another cause.
+	suspects        int
+	suspectsIgnored bool
 	// now is the time of the last pick under Expected.
 	now      time.Time
 	eligible []*server
@@ -79,8 +88,8 @@
 	incarnation uint64
 }
 
-func newGroup(p Policy) *group {
-	return &group{policy: p, known: make(map[identity]*server), turn: rand.IntN(math.MaxInt32)}
+func newGroup(p Policy, entries func() int) *group {
+	return &group{policy: p, entries: entries, known: make(map[identity]*server), turn: rand.IntN(math.MaxInt32)}
 }
 
 // update takes over the registrar's list of servers. The registrar makes a new list on each change, so one at the same address is the
@@ -174,20 +183,27 @@
 
 // collectEligible fills eligible; full reports whether a server was left out for its load alone.
 func (g *group) collectEligible(r *Request, now time.Time) (full bool) {
-	if g.policy == Expected {
-		full = g.collectFrom(r, now, true)
-		if len(g.eligible) >= sampleSize {
-			return full
+	if g.policy != Expected {
+		return g.collectFrom(r, now, false, true)
+	}
+	for _, suspects := range []bool{false, true} {
+		if !suspects && (r.AllowSuspects || g.suspectsIgnored) {
+			continue
+		}
+		for _, subset := range []bool{true, false} {
+			if full = g.collectFrom(r, now, subset, suspects); len(g.eligible) >= sampleSize {
+				return full
+			}
 		}
 	}
-	return g.collectFrom(r, now, false)
+	return full
 }
 
-// collectFrom fills eligible from the entry's subset or from all servers.
-func (g *group) collectFrom(r *Request, now time.Time, subset bool) (full bool) {
+// collectFrom fills eligible from the entry's subset or from all servers, with or without suspects.
+func (g *group) collectFrom(r *Request, now time.Time, subset, suspects bool) (full bool) {
 	g.eligible = g.eligible[:0]
 	for _, s := range g.servers {
-		if subset && !s.inSubset || s.announced.State != registrar.Ready || contains(r.Exclude, s) {
+		if subset && !s.inSubset || s.announced.State != registrar.Ready || contains(r.Exclude, s) || !suspects && s.isSuspect(now) {
 			continue
 		}
 		if s.inFlight >= s.maxInFlight || r.Deferrable && g.load(s, now) > float64(s.announced.Slots)-reservedSlots {
@@ -287,7 +303,11 @@
 	g.scratch = g.scratch[:0]
 	sum, n := 0.0, 0
 	slowdown, reporting := 0.0, 0
+	g.suspects = 0
 	for _, s := range g.servers {
+		if s.isSuspect(now) {
+			g.suspects++
+		}
 		if s.latencySamples >= minLatencySamples {
 			g.scratch = append(g.scratch, s.latency)
 		}
@@ -300,6 +320,11 @@
 			reporting++
 		}
 	}
+	g.suspectsIgnored = float64(g.suspects) > maxSuspectShare*float64(len(g.servers))
+	if len(g.scratch) == 0 && g.recentCount >= minRecentLatencies {
+		// Where an entry has few calls for many servers, hardly any server has a mean latency of its own.
+		g.scratch = append(g.scratch, g.recent[:min(g.recentCount, recentLatencies)]...)
+	}
 	g.medianLatency, g.meanOthers, g.meanSlowdown = 0, 0, 1
 	if reporting > 0 {
 		g.meanSlowdown = slowdown / float64(reporting)
@@ -317,6 +342,13 @@
 func (g *group) recordResult(c *Choice, r *Result, now time.Time) {
 	s := c.server
 	s.recordResult(r, now)
+	if r.Err == nil && !r.Shed && !r.Canceled && !isFailure(r) {
+		g.recent[g.recentCount%recentLatencies] = float64(r.Latency) / max(c.slowdown, 1)
+		g.recentCount++
+	}
+	if !r.Shed && isFailure(r) || g.isStalled(c, r.Latency) {
+		g.recordFault(c, now)
+	}
 	if r.Load != nil && r.Err == nil && !r.Shed && !isFailure(r) && r.Load.Slowdown > 0 {
 		g.knee.record(float64(r.Latency)/r.Load.Slowdown, float64(r.Load.InFlight+1), float64(s.announced.Slots))
 	}
--- a/peridot-entry/picker/load_test.go
+++ b/peridot-entry/picker/load_test.go
@@ -7,8 +7,11 @@
 )
 
 // objectiveShare is the least share of calls that must meet their objective where no server is impaired, as it is required of the
-// deployments; with impaired servers or a burst it is 0.9.
-const objectiveShare = 0.95
+// deployments; with impaired servers or a burst it is impairedShare.
+const (
+	objectiveShare = 0.95
+	impairedShare  = 0.9
+)
 
 func TestLoadPatterns(t *testing.T) {
 	usual := 0.4 * simCapacity
--- a/peridot-entry/picker/picker.go
+++ b/peridot-entry/picker/picker.go
@@ -16,6 +16,9 @@
 // ErrFull is returned when every backend server that may take the call already holds too many calls.
 var ErrFull = errors.New("every backend server is full")
 
+// ErrOnlySuspects is the ErrFull of a request that excludes suspects, some of which might have room.
+var ErrOnlySuspects = errors.WithMessage(ErrFull, "only suspect servers may have room")
+
 // Request describes an attempt that needs a backend server.
 type Request struct {
 	Service string
@@ -35,6 +38,8 @@
 	// FastOnly excludes, under Expected, servers that are slowed down, as by noisy neighbours on their machine. Calls that can wait and
 	// pick again set it.
 	FastOnly bool
+	// AllowSuspects includes the servers at which entries have recently seen faults, under Expected.
+	AllowSuspects bool
 }
 
 // Result is the outcome of an attempt.
@@ -86,6 +91,8 @@
 	// MaxInFlight returns how many calls this entry may have in flight at a backend server that accepts the given number of
 	// connections; nil for one call per connection.
 	MaxInFlight func(connections int) int
+	// Entries returns how many entries share the servers, this one included; nil for 1.
+	Entries func() int
 	// Policy defaults to Corrected.
 	Policy Policy
 	Now    func() time.Time
@@ -109,6 +116,9 @@
 	if cfg.MaxInFlight == nil {
 		cfg.MaxInFlight = func(connections int) int { return connections }
 	}
+	if cfg.Entries == nil {
+		cfg.Entries = func() int { return 1 }
+	}
 	return &Picker{cfg: cfg, services: make(map[string]*group)}
 }
 
@@ -124,11 +134,15 @@
 	now := p.cfg.Now()
 	g.update(servers, p.cfg, now)
 	s, err := g.pick(&r, now)
+	if errors.Is(err, ErrFull) && !r.AllowSuspects && g.suspects > 0 && !g.suspectsIgnored {
+		err = ErrOnlySuspects
+	}
 	if err != nil {
 		return nil, err
 	}
-	c := &Choice{Server: s.announced, group: g, server: s, begin: now, now: p.cfg.Now}
+	c := &Choice{Server: s.announced, group: g, server: s, begin: now, slowdown: g.currentSlowdown(s, now), now: p.cfg.Now}
 	s.add(c)
+	g.calls.add(1, now)
 	return c, nil
 }
 
@@ -190,15 +204,29 @@
 	}
 }
 
-// MarkUnreachable ejects a server to which no connection could be opened.
+// MarkUnreachable ejects a server to which no connection could be opened, which counts as a fault.
 func (p *Picker) MarkUnreachable(k registrar.Key) {
+	p.recordProbeFault(k, func(s *server, now time.Time) {
+		if !s.unreachable {
+			s.unreachable = true
+			s.eject(now)
+		}
+	})
+}
+
+// MarkUnanswered counts a probe that a server did not answer as a fault.
+func (p *Picker) MarkUnanswered(k registrar.Key) { p.recordProbeFault(k, func(*server, time.Time) {}) }
+
+func (p *Picker) recordProbeFault(k registrar.Key, mark func(*server, time.Time)) {
 	g := p.group(k.Service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := p.cfg.Now()
 	for _, s := range g.servers {
-		if s.announced.InstanceID == k.InstanceID && !s.unreachable {
-			s.unreachable = true
-			s.eject(p.cfg.Now())
+		if s.announced.InstanceID == k.InstanceID {
+			mark(s, now)
+			s.unreported++
+			g.addFaults(s, 1, now)
 		}
 	}
 }
@@ -213,7 +241,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if g = p.services[service]; g == nil {
-		g = newGroup(p.cfg.Policy)
+		g = newGroup(p.cfg.Policy, p.cfg.Entries)
 		p.services[service] = g
 	}
 	return g
@@ -225,6 +253,10 @@
 	group  *group
 	server *server
 	begin  time.Time
+	// slowdown is the server's slowdown when it was picked.
+	slowdown float64
+	// faulty is set once the attempt has counted as a fault of the server.
+	faulty bool
 	now    func() time.Time
 	// trial is true for an attempt at an ejected server.
 	trial bool
--- a/peridot-entry/picker/sim_test.go
+++ b/peridot-entry/picker/sim_test.go
@@ -58,6 +58,10 @@
 	// warmUpEnd is when the server has warmed up.
 	warmUpEnd   time.Time
 	unreachable bool
+	// faultRate is the share of the server's calls that it runs without a response.
+	faultRate float64
+	// stretch multiplies the service time in addition to slowdown, without being reported; 0 for 1.
+	stretch float64
 	// calls counts the calls that the server was sent.
 	calls int
 }
@@ -82,20 +86,24 @@
 	begin            time.Time
 }
 
-func newSim(seed uint64, policy Policy) *sim {
+func newSim(seed uint64, policy Policy) *sim { return newSimOf(seed, policy, simEntries, simServers) }
+
+// newSimOf returns a simulation with the given numbers of entries and servers.
+func newSimOf(seed uint64, policy Policy, entries, servers int) *sim {
 	s := &sim{
 		now: time.Unix(1000, 0), rnd: rand.New(rand.NewPCG(seed, 1)), probes: policy == Expected,
 		good: make(map[int]int), late: make(map[int]int), lost: make(map[int]int),
 	}
 	s.begin = s.now
-	for i := range simServers {
+	for i := range servers {
 		s.add(fmt.Sprint("s", i), s.begin.Add(-time.Hour))
 	}
-	for i := range simEntries {
+	for i := range entries {
 		s.entries = append(s.entries, New(Config{
 			InstanceID: fmt.Sprint("e", i), AvailabilityZone: "a", Policy: policy,
 			Servers: func(string) []registrar.Server { return s.table },
 			Now:     func() time.Time { return s.now },
+			Entries: func() int { return entries },
 		}))
 	}
 	return s
@@ -258,6 +266,9 @@
 	if float64(srv.running) > 0.8*simSlots {
 		serviceTime *= 1.7
 	}
+	if srv.stretch > 0 {
+		serviceTime *= srv.stretch
+	}
 	if s.now.Before(srv.warmUpEnd) {
 		serviceTime *= 2
 	}
@@ -270,7 +281,13 @@
 			next()
 		}
 		load := s.load(i)
+		faulty := srv.faultRate > 0 && s.rnd.Float64() < srv.faultRate
 		s.after(simTrip, func() {
+			if faulty {
+				c.Done(Result{Err: errors.New("connection closed"), Latency: s.now.Sub(begin)})
+				s.lost[k.second]++
+				return
+			}
 			c.Done(Result{Status: http.StatusOK, Latency: s.now.Sub(begin), Load: &load})
 			if s.now.Sub(k.arrived) <= simObjective {
 				s.good[k.second]++
@@ -343,6 +360,24 @@
 	s.after(300*time.Millisecond, tick)
 }
 
+// shareFaults passes the faults that each entry has seen to all entries: every interval, with the same delay.
+func (s *sim) shareFaults(interval, delay time.Duration) {
+	for _, p := range s.entries {
+		var tick func()
+		tick = func() {
+			if reports := p.TakeFaults(); len(reports) > 0 {
+				s.after(delay, func() {
+					for _, other := range s.entries {
+						other.ObserveFaults(reports)
+					}
+				})
+			}
+			s.after(interval, tick)
+		}
+		s.after(time.Duration(s.rnd.Int64N(int64(interval))), tick)
+	}
+}
+
 // outage holds up all calls that arrive between from and to, at a rate per second. Their callers retry within a third of a second after
 // to.
 func (s *sim) outage(rate float64, from, to time.Duration) {
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -96,6 +96,7 @@
 		Servers:          s.registrar.Servers,
 		Policy:           picker.Expected,
 		MaxInFlight:      s.connectionCap,
+		Entries:          s.budgetEntries,
 	})
 	s.followerSet = make(chan struct{})
 	s.follow()
@@ -136,6 +137,7 @@
 		Budget:        s.probeBudget,
 		HasSuitable:   s.picker.HasSuitable,
 		OnUnreachable: s.picker.MarkUnreachable,
+		OnUnanswered:  s.picker.MarkUnanswered,
 		OnProbe:       s.stats.meter.RecordProbe,
 	})
 }
@@ -143,11 +145,13 @@
 func (s *Routed) follow() {
 	s.follower = follower.New(follower.Config{
 		InstanceID:       s.cfg.InstanceID,
+		AvailabilityZone: s.cfg.AvailabilityZone,
 		Control:          s.cfg.Control(),
 		Seeds:            s.cfg.Control,
 		NewWatchRequest:  s.watchRequest,
 		OnError:          func(err error) { s.cfg.Log.Warn().Err(err).Msg("control not reached") },
 		OnServers:        s.applyServers,
+		OnFaults:         s.observeFaults,
 		OnRevision:       s.onRevision,
 		ParseRouting:     s.cfg.ParseRouting,
 		ServeUnconfirmed: true,
@@ -245,9 +249,36 @@
 		Incarnation:      s.incarnation,
 		Synchronised:     s.synchronised.Load() && s.follower.CanServe(),
 		Stopping:         s.stopping.Load(),
+		Faults:           encodeFaults(s.picker.TakeFaults()),
+	}
+}
+
+func encodeFaults(reports []picker.FaultReport) (out []*delivererpb.FaultReport) {
+	for _, r := range reports {
+		out = append(out, &delivererpb.FaultReport{
+			Service: r.Key.Service, InstanceId: r.Key.InstanceID, Incarnation: r.Incarnation, Faults: uint32(r.Faults),
+		})
 	}
+	return out
 }
 
+// observeFaults passes on the faults that entries have reported to control.
+func (s *Routed) observeFaults(reports []*delivererpb.FaultReport) {
+	<-s.followerSet
+	var out []picker.FaultReport
+	for _, r := range reports {
+		out = append(out, picker.FaultReport{
+			Key:         registrar.Key{Service: r.Service, InstanceID: r.InstanceId},
+			Incarnation: r.Incarnation,
+			Faults:      int(min(r.Faults, maxReportedFaults)),
+		})
+	}
+	s.picker.ObserveFaults(out)
+}
+
+// maxReportedFaults bounds the faults of one report that are believed.
+const maxReportedFaults = 1000
+
 // applyServers applies a change to control's table of backend servers, or the full table if full is set.
 func (s *Routed) applyServers(changed []*delivererpb.BackendServer, full bool) {
 	servers := make([]registrar.Server, 0, len(changed))
