Control collects changes of the tables for 100 ms before it sends them

Cause: a release that replaces 44 backend servers in 0.7 s woke all 449 watches for each of them. A new configuration is still sent at once, and so is the first table.

--- a/peridot-control/deliverer/deliverer.go
+++ b/peridot-control/deliverer/deliverer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -211,26 +212,41 @@
 	return reply
 }
 
+// waitForUpdate waits until there is something to send to the entry, but not longer than it has requested.
 func (d *Deliverer) waitForUpdate(ctx context.Context, req *delivererpb.WatchRequest) {
 	timer := time.NewTimer(min(time.Duration(req.WaitMs)*time.Millisecond, maxWait))
 	defer timer.Stop()
-	listsOutdated, batched := d.waitForLists(req)
-	if d.hasUpdate(req) || listsOutdated == nil {
+	listOutdated := d.waitForList(req)
+	if listOutdated == nil || req.ServersVersion == 0 && d.hasUpdate(req) {
 		return
 	}
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-d.cfg.Changed(req.Revision, req.ServersVersion):
-	case <-listsOutdated:
-		if !batched {
-			return
-		}
+		d.collectChanges(ctx, timer.C, req)
+	case <-listOutdated:
+		d.collectChanges(ctx, timer.C, req)
+	}
+}
+
+// batchInterval is how long changes of the table of backend servers and of the list of entries are collected before they are sent. When
+// hundreds start or stop, each entry would otherwise be told of each one separately.
+const batchInterval = 100 * time.Millisecond
+
+// collectChanges waits for batchInterval, for expired or until there is a newer configuration, which is sent at once.
+func (d *Deliverer) collectChanges(ctx context.Context, expired <-chan time.Time, req *delivererpb.WatchRequest) {
+	end := time.NewTimer(batchInterval)
+	defer end.Stop()
+	for d.cfg.Current().Revision <= req.Revision {
 		select {
 		case <-ctx.Done():
-		case <-timer.C:
-		case <-d.cfg.Changed(req.Revision, req.ServersVersion):
-		case <-time.After(listBatchInterval):
+			return
+		case <-expired:
+			return
+		case <-end.C:
+			return
+		case <-d.cfg.Changed(req.Revision, math.MaxUint64):
 		}
 	}
 }
--- a/peridot-control/deliverer/entries.go
+++ b/peridot-control/deliverer/entries.go
@@ -6,7 +6,6 @@
 	"hash/fnv"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -15,13 +14,8 @@
 	"peridotswitch.example/common/differ"
 )
 
-const (
-	// minCompressedEntries is the number of entries from which a list of them is compressed.
-	minCompressedEntries = 16
-	// listBatchInterval is how long changes of the list of entries are collected before they are sent. When hundreds of entries start or
-	// stop, each would otherwise be told of each other one separately.
-	listBatchInterval = 100 * time.Millisecond
-)
+// minCompressedEntries is the number of entries from which a list of them is compressed.
+const minCompressedEntries = 16
 
 // addLists adds the lists of entries and control members to the reply, as far as the entry doesn't hold them.
 func (d *Deliverer) addLists(reply *delivererpb.WatchReply, req *delivererpb.WatchRequest) {
@@ -50,19 +44,18 @@
 	reply.Entries = changes.members
 }
 
-// waitForLists returns a channel that is closed once the entry's list of entries is out of date, or nil if the reply should not wait for
-// that: the entry lacks the list of this leader or the current list of control members. batched means that the reply should include
-// the changes of the next listBatchInterval.
-func (d *Deliverer) waitForLists(req *delivererpb.WatchRequest) (outdated <-chan struct{}, batched bool) {
+// waitForList returns a channel that is closed once the entry's list of entries is out of date, or nil if the reply should not wait for
+// that: the entry lacks the list of this leader or the current list of control members.
+func (d *Deliverer) waitForList(req *delivererpb.WatchRequest) <-chan struct{} {
 	version, control := d.table.currentVersion(), d.cfg.Status().Members
 	held := listVersion(req.EntriesVersion)
 	switch {
 	case req.AcceptsDeltas && held.isComparable(version) && controlVersion(control) == req.ControlVersion:
-		return d.table.changedSince(held), true
+		return d.table.changedSince(held)
 	case !req.AcceptsDeltas && combinedVersion(version, control) == req.EntriesVersion:
-		return d.table.changedSince(version), false
+		return d.table.changedSince(version)
 	}
-	return nil, false
+	return nil
 }
 
 // controlVersion is a hash of the control members' fields that entries use.
