--- a/peridot-entry/accountant/meter.go
+++ b/peridot-entry/accountant/meter.go
@@ -17,6 +17,8 @@
 	// probes are counters by service and result, refusals by service and cause.
 	probes   map[labelValues]tally.Counter
 	refusals map[labelValues]tally.Counter
+	// suspicions are counters by service.
+	suspicions map[string]tally.Counter
 }
 
 // labelValues are the service label and the value of the other label of a metric: outcome, result or cause.
@@ -38,7 +40,10 @@
 
 // NewMeter returns a Meter that creates its metrics in scope.
 func NewMeter(scope tally.Scope) *Meter {
-	return &Meter{scope: scope, calls: make(map[labelValues]*callMetrics), probes: make(map[labelValues]tally.Counter), refusals: make(map[labelValues]tally.Counter)}
+	return &Meter{
+		scope: scope, calls: make(map[labelValues]*callMetrics), probes: make(map[labelValues]tally.Counter),
+		refusals: make(map[labelValues]tally.Counter), suspicions: make(map[string]tally.Counter),
+	}
 }
 
 // RecordCall records a finished call; missed says whether it missed its objective.
@@ -64,6 +69,18 @@
 	m.counter(m.probes, "probes", "result", labelValues{service, result}).Inc(1)
 }
 
+// RecordSuspicion counts a backend server that has become suspect because of its faults.
+func (m *Meter) RecordSuspicion(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.suspicions[service]
+	if c == nil {
+		c = m.scope.Tagged(map[string]string{"service": service}).Counter("suspicions")
+		m.suspicions[service] = c
+	}
+	c.Inc(1)
+}
+
 // counter returns the counter for key and creates it if needed; label is the name of the label that holds key.value.
 func (m *Meter) counter(counters map[labelValues]tally.Counter, name, label string, key labelValues) tally.Counter {
 	m.mu.Lock()
--- a/peridot-entry/dispatcher/dispatcher_test.go
+++ b/peridot-entry/dispatcher/dispatcher_test.go
@@ -409,3 +409,35 @@
 		})
 	}
 }
+
+// When only servers with recent faults may have room, the call goes to one of them rather than be refused, except for a late call, whose
+// caller is told at once.
+func TestSuspectsAreTriedBeforeACallIsRefused(t *testing.T) {
+	const objective = 90 * time.Millisecond
+	tests := map[string]struct {
+		waited time.Duration
+		err    error
+		want   bool
+	}{
+		"only suspects have room": {0, picker.ErrOnlySuspects, true},
+		"all servers are full":    {0, picker.ErrFull, false},
+		"a late call":             {objective, picker.ErrOnlySuspects, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, _, _ := newTestDispatcher(respond(http.StatusOK))
+			allowed := false
+			d.cfg.Pick = func(r picker.Request) (*picker.Choice, error) {
+				if allowed = r.AllowSuspects; allowed {
+					return nil, picker.ErrFull
+				}
+				return nil, tt.err
+			}
+			c := newCall(parser.Idempotent)
+			c.Rule.Objective, c.Waited = parser.Duration(objective), tt.waited
+			if _, err := d.Do(context.Background(), c); err == nil || allowed != tt.want {
+				t.Errorf("suspects were allowed: %t (%v), want %t", allowed, err, tt.want)
+			}
+		})
+	}
+}
--- a/peridot-entry/picker/faults.go
+++ b/peridot-entry/picker/faults.go
@@ -15,6 +15,14 @@
 	Faults      int
 }
 
+// Suspicion says why a server is avoided: how many of how many recent calls were faults, as known to this entry.
+type Suspicion struct {
+	Key    registrar.Key
+	Faults float64
+	Calls  float64
+	For    time.Duration
+}
+
 const (
 	// faultHalfLife is the time in which a fault loses half its weight.
 	faultHalfLife = 2 * time.Second
@@ -61,13 +69,17 @@
 // that at first only a few try it again, whose reports keep the others away if it has not recovered.
 func (g *group) addFaults(s *server, n int, now time.Time) {
 	s.faults.add(float64(n), now)
-	if !s.isSuspect(now) && s.faults.value(now) < suspectRatio*g.callsPerServer(now) {
+	wasSuspect, calls := s.isSuspect(now), g.callsPerServer(now)
+	if !wasSuspect && s.faults.value(now) < suspectRatio*calls {
 		return
 	}
-	until := now.Add(minSuspectTime + rand.N(maxSuspectTime-minSuspectTime))
-	if until.After(s.suspectUntil) {
+	d := minSuspectTime + rand.N(maxSuspectTime-minSuspectTime)
+	if until := now.Add(d); until.After(s.suspectUntil) {
 		s.suspectUntil = until
 	}
+	if !wasSuspect && s.inSubset && g.onSuspect != nil {
+		g.onSuspect(Suspicion{s.announced.Key(), s.faults.value(now), calls, d})
+	}
 }
 
 // isStalled reports whether an attempt takes much longer than usual for the service.
--- a/peridot-entry/picker/group.go
+++ b/peridot-entry/picker/group.go
@@ -46,9 +46,10 @@
 
 // group is the state of one service's backend servers as this entry knows it.
 type group struct {
-	mu      sync.Mutex
-	policy  Policy
-	entries func() int
+	mu        sync.Mutex
+	policy    Policy
+	entries   func() int
+	onSuspect func(Suspicion)
 	// view is the registrar's list that servers was made from.
 	view    []registrar.Server
 	servers []*server
@@ -88,8 +89,8 @@
 	incarnation uint64
 }
 
-func newGroup(p Policy, entries func() int) *group {
-	return &group{policy: p, entries: entries, known: make(map[identity]*server), turn: rand.IntN(math.MaxInt32)}
+func newGroup(cfg Config) *group {
+	return &group{policy: cfg.Policy, entries: cfg.Entries, onSuspect: cfg.OnSuspect, known: make(map[identity]*server), turn: rand.IntN(math.MaxInt32)}
 }
 
 // update takes over the registrar's list of servers. The registrar makes a new list on each change, so one at the same address is the
--- a/peridot-entry/picker/picker.go
+++ b/peridot-entry/picker/picker.go
@@ -93,6 +93,8 @@
 	MaxInFlight func(connections int) int
 	// Entries returns how many entries share the servers, this one included; nil for 1.
 	Entries func() int
+	// OnSuspect is called when one of the servers that this entry sends calls to becomes suspect; it must not block; nil for no call.
+	OnSuspect func(Suspicion)
 	// Policy defaults to Corrected.
 	Policy Policy
 	Now    func() time.Time
@@ -241,7 +243,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if g = p.services[service]; g == nil {
-		g = newGroup(p.cfg.Policy, p.cfg.Entries)
+		g = newGroup(p.cfg)
 		p.services[service] = g
 	}
 	return g
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -67,7 +67,7 @@
 	log         *callLog
 	stopping    atomic.Bool
 	refusing    atomic.Bool
-	// followerSet is closed once the follower field is set.
+	// followerSet is closed once the fields follower and stats are set.
 	followerSet chan struct{}
 	// synchronised is set once control has sent the table of backend servers. initialized is closed once routes are known as well.
 	synchronised   atomic.Bool
@@ -97,11 +97,13 @@
 		Policy:           picker.Expected,
 		MaxInFlight:      s.connectionCap,
 		Entries:          s.budgetEntries,
+		OnSuspect:        s.recordSuspicion,
 	})
 	s.followerSet = make(chan struct{})
 	s.follow()
+	s.stats, err = newCallStats(cfg.Log, s.follower.Current)
 	close(s.followerSet)
-	if s.stats, err = newCallStats(cfg.Log, s.follower.Current); err != nil {
+	if err != nil {
 		s.follower.Close()
 		_ = callers.Close()
 		_ = operators.Close()
@@ -276,6 +278,12 @@
 	s.picker.ObserveFaults(out)
 }
 
+func (s *Routed) recordSuspicion(e picker.Suspicion) {
+	s.stats.meter.RecordSuspicion(e.Key.Service)
+	s.cfg.Log.Info().Str("server", e.Key.InstanceID).Str("service", e.Key.Service).Float64("faults", e.Faults).Float64("calls", e.Calls).
+		Dur("for-ms", e.For).Msg("backend server suspect")
+}
+
 // maxReportedFaults bounds the faults of one report that are believed.
 const maxReportedFaults = 1000
 
