--- a/peridot-entry/accountant/meter.go
+++ b/peridot-entry/accountant/meter.go
@@ -17,8 +17,8 @@
 	// probes are counters by service and result, refusals by service and cause.
 	probes   map[labelValues]tally.Counter
 	refusals map[labelValues]tally.Counter
-	// suspicions are counters by service.
-	suspicions map[string]tally.Counter
+	// faulty are counters by service.
+	faulty map[string]tally.Counter
 }
 
 // labelValues are the service label and the value of the other label of a metric: outcome, result or cause.
@@ -42,7 +42,7 @@
 func NewMeter(scope tally.Scope) *Meter {
 	return &Meter{
 		scope: scope, calls: make(map[labelValues]*callMetrics), probes: make(map[labelValues]tally.Counter),
-		refusals: make(map[labelValues]tally.Counter), suspicions: make(map[string]tally.Counter),
+		refusals: make(map[labelValues]tally.Counter), faulty: make(map[string]tally.Counter),
 	}
 }
 
@@ -69,14 +69,14 @@
 	m.counter(m.probes, "probes", "result", labelValues{service, result}).Inc(1)
 }
 
-// RecordSuspicion counts a backend server that has become suspect because of its faults.
-func (m *Meter) RecordSuspicion(service string) {
+// RecordFaulty counts a backend server that has become faulty.
+func (m *Meter) RecordFaulty(service string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := m.suspicions[service]
+	c := m.faulty[service]
 	if c == nil {
-		c = m.scope.Tagged(map[string]string{"service": service}).Counter("suspicions")
-		m.suspicions[service] = c
+		c = m.scope.Tagged(map[string]string{"service": service}).Counter("faulty_servers")
+		m.faulty[service] = c
 	}
 	c.Inc(1)
 }
--- a/peridot-entry/dispatcher/dispatcher_test.go
+++ b/peridot-entry/dispatcher/dispatcher_test.go
@@ -412,23 +412,23 @@
 
 // When only servers with recent faults may have room, the call goes to one of them rather than be refused, except for a late call, whose
 // caller is told at once.
-func TestSuspectsAreTriedBeforeACallIsRefused(t *testing.T) {
+func TestFaultyServersAreTriedBeforeACallIsRefused(t *testing.T) {
 	const objective = 90 * time.Millisecond
 	tests := map[string]struct {
 		waited time.Duration
 		err    error
 		want   bool
 	}{
-		"only suspects have room": {0, picker.ErrOnlySuspects, true},
+		"only faulty servers have room": {0, picker.ErrOnlyFaulty, true},
 		"all servers are full":    {0, picker.ErrFull, false},
-		"a late call":             {objective, picker.ErrOnlySuspects, false},
+		"a late call":             {objective, picker.ErrOnlyFaulty, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			d, _, _ := newTestDispatcher(respond(http.StatusOK))
 			allowed := false
 			d.cfg.Pick = func(r picker.Request) (*picker.Choice, error) {
-				if allowed = r.AllowSuspects; allowed {
+				if allowed = r.AllowFaulty; allowed {
 					return nil, picker.ErrFull
 				}
 				return nil, tt.err
@@ -436,7 +436,7 @@
 			c := newCall(parser.Idempotent)
 			c.Rule.Objective, c.Waited = parser.Duration(objective), tt.waited
 			if _, err := d.Do(context.Background(), c); err == nil || allowed != tt.want {
-				t.Errorf("suspects were allowed: %t (%v), want %t", allowed, err, tt.want)
+				t.Errorf("faulty servers were allowed: %t (%v), want %t", allowed, err, tt.want)
 			}
 		})
 	}
--- a/peridot-entry/dispatcher/execution.go
+++ b/peridot-entry/dispatcher/execution.go
@@ -123,7 +123,7 @@
 // pickServer waits for a permit and picks a backend server. A deferrable call keeps trying until a server has free slots.
 func (x *execution) pickServer(ctx context.Context) (*picker.Choice, error) {
 	deferrable := x.call.Rule.Priority == parser.Deferrable
-	allowSuspects := false
+	allowFaulty := false
 	for {
 		if x.permit == nil {
 			var err error
@@ -140,7 +140,7 @@
 			Late:       x.isLate(),
 			FastOnly:   x.wantsFastOnly(),
 
-			AllowSuspects: allowSuspects,
+			AllowFaulty: allowFaulty,
 		}
 		if x.d.cfg.Probe != nil {
 			req.Candidates = x.d.cfg.Probe(ctx, req)
@@ -152,9 +152,9 @@
 		if errors.Is(err, picker.ErrFull) && x.waitForSlot(ctx) {
 			continue
 		}
-		if errors.Is(err, picker.ErrOnlySuspects) && !x.isLate() {
+		if errors.Is(err, picker.ErrOnlyFaulty) && !x.isLate() {
 			// Rather than refuse the call, send it to a server that may fail it.
-			allowSuspects = true
+			allowFaulty = true
 			continue
 		}
 		x.releasePermit(errors.Is(err, picker.ErrFull))
--- a/peridot-entry/picker/faults.go
+++ b/peridot-entry/picker/faults.go
@@ -15,8 +15,8 @@
 	Faults      int
 }
 
-// Suspicion says why a server is avoided: how many of how many recent calls were faults, as known to this entry.
-type Suspicion struct {
+// FaultyServer says why a server is avoided: how many of how many recent calls were faults, as known to this entry.
+type FaultyServer struct {
 	Key    registrar.Key
 	Faults float64
 	Calls  float64
@@ -26,13 +26,13 @@
 const (
 	// faultHalfLife is the time in which a fault loses half its weight.
 	faultHalfLife = 2 * time.Second
-	// suspectRatio is the share of a server's calls, as estimated from this entry's, whose failure makes the server suspect.
-	suspectRatio = 0.12
-	// A server is suspect for a random time between minSuspectTime and maxSuspectTime after its last fault.
-	minSuspectTime = 2 * time.Second
-	maxSuspectTime = 12 * time.Second
-	// maxSuspectShare is the share of a service's servers above which suspicions are ignored.
-	maxSuspectShare = 0.7
+	// faultyRatio is the share of a server's calls, as estimated from this entry's, whose failure makes the server faulty.
+	faultyRatio = 0.12
+	// A server counts as faulty for a random time between minFaultyTime and maxFaultyTime after its last fault.
+	minFaultyTime = 2 * time.Second
+	maxFaultyTime = 12 * time.Second
+	// maxFaultyShare is the share of a service's servers above which faulty are ignored.
+	maxFaultyShare = 0.7
 	// stalledLatencies is the number of median latencies after which a call counts as a fault.
 	stalledLatencies = 2.5
 	// maxFaultyServers is the number of servers with new faults above which this entry's own network is the likely cause.
@@ -57,28 +57,28 @@
 
 func (d *decayed) add(n float64, now time.Time) { d.sum, d.at = d.value(now)+n, now }
 
-// isSuspect reports whether the server is to be avoided because of recent faults.
-func (s *server) isSuspect(now time.Time) bool { return now.Before(s.suspectUntil) }
+// isFaulty reports whether the server is to be avoided because of recent faults.
+func (s *server) isFaulty(now time.Time) bool { return now.Before(s.faultyUntil) }
 
 // callsPerServer estimates the decayed number of calls that all entries have sent to each server.
 func (g *group) callsPerServer(now time.Time) float64 {
 	return g.calls.value(now) * float64(g.entries()) / float64(max(len(g.servers), 1))
 }
 
-// addFaults adds faults to a server's and decides whether it becomes or stays suspect. The times for which entries avoid it differ, so
+// addFaults adds faults to a server's and decides whether it becomes or stays faulty. The times for which entries avoid it differ, so
 // that at first only a few try it again, whose reports keep the others away if it has not recovered.
 func (g *group) addFaults(s *server, n int, now time.Time) {
 	s.faults.add(float64(n), now)
-	wasSuspect, calls := s.isSuspect(now), g.callsPerServer(now)
-	if !wasSuspect && s.faults.value(now) < suspectRatio*calls {
+	wasFaulty, calls := s.isFaulty(now), g.callsPerServer(now)
+	if !wasFaulty && s.faults.value(now) < faultyRatio*calls {
 		return
 	}
-	d := minSuspectTime + rand.N(maxSuspectTime-minSuspectTime)
-	if until := now.Add(d); until.After(s.suspectUntil) {
-		s.suspectUntil = until
+	d := minFaultyTime + rand.N(maxFaultyTime-minFaultyTime)
+	if until := now.Add(d); until.After(s.faultyUntil) {
+		s.faultyUntil = until
 	}
-	if !wasSuspect && s.inSubset && g.onSuspect != nil {
-		g.onSuspect(Suspicion{s.announced.Key(), s.faults.value(now), calls, d})
+	if !wasFaulty && s.inSubset && g.onFaulty != nil {
+		g.onFaulty(FaultyServer{s.announced.Key(), s.faults.value(now), calls, d})
 	}
 }
 
@@ -89,10 +89,10 @@
 
 // recordFault counts an attempt as a fault of its server, once.
 func (g *group) recordFault(c *Choice, now time.Time) {
-	if c.faulty {
+	if c.counted {
 		return
 	}
-	c.faulty = true
+	c.counted = true
 	c.server.unreported++
 	g.addFaults(c.server, 1, now)
 }
--- a/peridot-entry/picker/group.go
+++ b/peridot-entry/picker/group.go
@@ -46,10 +46,10 @@
 
 // group is the state of one service's backend servers as this entry knows it.
 type group struct {
-	mu        sync.Mutex
-	policy    Policy
-	entries   func() int
-	onSuspect func(Suspicion)
+	mu       sync.Mutex
+	policy   Policy
+	entries  func() int
+	onFaulty func(FaultyServer)
 	// view is the registrar's list that servers was made from.
 	view    []registrar.Server
 	servers []*server
@@ -75,9 +75,9 @@
 	recentCount int
 	// calls is the decayed number of this entry's calls.
 	calls decayed
-	// suspects is the number of servers that are suspect. suspectsIgnored is set while so many servers are suspect that their faults must have another cause.
-	suspects        int
-	suspectsIgnored bool
+	// faultyCount is the number of faulty servers. faultyIgnored is set while so many are that there must be another cause.
+	faultyCount   int
+	faultyIgnored bool
 	// now is the time of the last pick under Expected.
 	now      time.Time
 	eligible []*server
@@ -90,7 +90,7 @@
 }
 
 func newGroup(cfg Config) *group {
-	return &group{policy: cfg.Policy, entries: cfg.Entries, onSuspect: cfg.OnSuspect, known: make(map[identity]*server), turn: rand.IntN(math.MaxInt32)}
+	return &group{policy: cfg.Policy, entries: cfg.Entries, onFaulty: cfg.OnFaulty, known: make(map[identity]*server), turn: rand.IntN(math.MaxInt32)}
 }
 
 // update takes over the registrar's list of servers. The registrar makes a new list on each change, so one at the same address is the
@@ -187,12 +187,12 @@
 	if g.policy != Expected {
 		return g.collectFrom(r, now, false, true)
 	}
-	for _, suspects := range []bool{false, true} {
-		if !suspects && (r.AllowSuspects || g.suspectsIgnored) {
+	for _, faulty := range []bool{false, true} {
+		if !faulty && (r.AllowFaulty || g.faultyIgnored) {
 			continue
 		}
 		for _, subset := range []bool{true, false} {
-			if full = g.collectFrom(r, now, subset, suspects); len(g.eligible) >= sampleSize {
+			if full = g.collectFrom(r, now, subset, faulty); len(g.eligible) >= sampleSize {
 				return full
 			}
 		}
@@ -200,11 +200,11 @@
 	return full
 }
 
-// collectFrom fills eligible from the entry's subset or from all servers, with or without suspects.
-func (g *group) collectFrom(r *Request, now time.Time, subset, suspects bool) (full bool) {
+// collectFrom fills eligible from the entry's subset or from all servers, with or without faulty ones.
+func (g *group) collectFrom(r *Request, now time.Time, subset, faulty bool) (full bool) {
 	g.eligible = g.eligible[:0]
 	for _, s := range g.servers {
-		if subset && !s.inSubset || s.announced.State != registrar.Ready || contains(r.Exclude, s) || !suspects && s.isSuspect(now) {
+		if subset && !s.inSubset || s.announced.State != registrar.Ready || contains(r.Exclude, s) || !faulty && s.isFaulty(now) {
 			continue
 		}
 		if s.inFlight >= s.maxInFlight || r.Deferrable && g.load(s, now) > float64(s.announced.Slots)-reservedSlots {
@@ -304,10 +304,10 @@
 	g.scratch = g.scratch[:0]
 	sum, n := 0.0, 0
 	slowdown, reporting := 0.0, 0
-	g.suspects = 0
+	g.faultyCount = 0
 	for _, s := range g.servers {
-		if s.isSuspect(now) {
-			g.suspects++
+		if s.isFaulty(now) {
+			g.faultyCount++
 		}
 		if s.latencySamples >= minLatencySamples {
 			g.scratch = append(g.scratch, s.latency)
@@ -321,7 +321,7 @@
 			reporting++
 		}
 	}
-	g.suspectsIgnored = float64(g.suspects) > maxSuspectShare*float64(len(g.servers))
+	g.faultyIgnored = float64(g.faultyCount) > maxFaultyShare*float64(len(g.servers))
 	if len(g.scratch) == 0 && g.recentCount >= minRecentLatencies {
 		// Where an entry has few calls for many servers, hardly any server has a mean latency of its own.
 		g.scratch = append(g.scratch, g.recent[:min(g.recentCount, recentLatencies)]...)
--- a/peridot-entry/picker/picker.go
+++ b/peridot-entry/picker/picker.go
@@ -16,8 +16,8 @@
 // ErrFull is returned when every backend server that may take the call already holds too many calls.
 var ErrFull = errors.New("every backend server is full")
 
-// ErrOnlySuspects is the ErrFull of a request that excludes suspects, some of which might have room.
-var ErrOnlySuspects = errors.WithMessage(ErrFull, "only suspect servers may have room")
+// ErrOnlyFaulty is the ErrFull of a request that excludes faulty servers, some of which might have room.
+var ErrOnlyFaulty = errors.WithMessage(ErrFull, "only faulty servers may have room")
 
 // Request describes an attempt that needs a backend server.
 type Request struct {
@@ -38,8 +38,8 @@
 	// FastOnly excludes, under Expected, servers that are slowed down, as by noisy neighbours on their machine. Calls that can wait and
 	// pick again set it.
 	FastOnly bool
-	// AllowSuspects includes the servers at which entries have recently seen faults, under Expected.
-	AllowSuspects bool
+	// AllowFaulty includes the servers at which entries have recently seen faults, under Expected.
+	AllowFaulty bool
 }
 
 // Result is the outcome of an attempt.
@@ -93,8 +93,8 @@
 	MaxInFlight func(connections int) int
 	// Entries returns how many entries share the servers, this one included; nil for 1.
 	Entries func() int
-	// OnSuspect is called when one of the servers that this entry sends calls to becomes suspect; it must not block; nil for no call.
-	OnSuspect func(Suspicion)
+	// OnFaulty is called when one of the servers that this entry sends calls to becomes faulty; it must not block; nil for no call.
+	OnFaulty func(FaultyServer)
 	// Policy defaults to Corrected.
 	Policy Policy
 	Now    func() time.Time
@@ -136,8 +136,8 @@
 	now := p.cfg.Now()
 	g.update(servers, p.cfg, now)
 	s, err := g.pick(&r, now)
-	if errors.Is(err, ErrFull) && !r.AllowSuspects && g.suspects > 0 && !g.suspectsIgnored {
-		err = ErrOnlySuspects
+	if errors.Is(err, ErrFull) && !r.AllowFaulty && g.faultyCount > 0 && !g.faultyIgnored {
+		err = ErrOnlyFaulty
 	}
 	if err != nil {
 		return nil, err
@@ -257,9 +257,9 @@
 	begin  time.Time
 	// slowdown is the server's slowdown when it was picked.
 	slowdown float64
-	// faulty is set once the attempt has counted as a fault of the server.
-	faulty bool
-	now    func() time.Time
+	// counted is set once the attempt has counted as a fault of the server.
+	counted bool
+	now     func() time.Time
 	// trial is true for an attempt at an ejected server.
 	trial bool
 	// prev and next link the calls in flight at the server.
--- a/peridot-entry/picker/server.go
+++ b/peridot-entry/picker/server.go
@@ -61,10 +61,10 @@
 	ejections    int
 	// unreachable servers get no calls until they have responded to a probe.
 	unreachable bool
-	// faults is the decayed number of faults that all entries have seen, as far as known here. suspectUntil is until when they make the
-	// server suspect.
-	faults       decayed
-	suspectUntil time.Time
+	// faults is the decayed number of faults that all entries have seen, as far as known here. faultyUntil is until when they make the
+	// server faulty.
+	faults      decayed
+	faultyUntil time.Time
 	// unreported is the number of own faults to report to other entries, reported that of those which come back in their reports.
 	unreported, reported int
 	// trials is the number of trial calls in flight, which find out whether an ejected server has recovered.
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -97,7 +97,7 @@
 		Policy:           picker.Expected,
 		MaxInFlight:      s.connectionCap,
 		Entries:          s.budgetEntries,
-		OnSuspect:        s.recordSuspicion,
+		OnFaulty:        s.recordFaulty,
 	})
 	s.followerSet = make(chan struct{})
 	s.follow()
@@ -278,10 +278,10 @@
 	s.picker.ObserveFaults(out)
 }
 
-func (s *Routed) recordSuspicion(e picker.Suspicion) {
-	s.stats.meter.RecordSuspicion(e.Key.Service)
+func (s *Routed) recordFaulty(e picker.FaultyServer) {
+	s.stats.meter.RecordFaulty(e.Key.Service)
 	s.cfg.Log.Info().Str("server", e.Key.InstanceID).Str("service", e.Key.Service).Float64("faults", e.Faults).Float64("calls", e.Calls).
-		Dur("for-ms", e.For).Msg("backend server suspect")
+		Dur("for-ms", e.For).Msg("backend server faulty")
 }
 
 // maxReportedFaults bounds the faults of one report that are believed.
