Subsets of backend servers are spread evenly, and the worst of too many faulty ones are avoided

Cause: entries order the servers of a service by FNV-1a hashes, whose high bits hardly depend on the last characters: entries with similar names chose the same servers of several hundred. The new test fails on the code before: 37 to 42 of 90 entries chose each of 16 servers, 12 is the mean.

--- a/peridot-entry/dispatcher/dispatcher_test.go
+++ b/peridot-entry/dispatcher/dispatcher_test.go
@@ -420,8 +420,8 @@
 		want   bool
 	}{
 		"only faulty servers have room": {0, picker.ErrOnlyFaulty, true},
-		"all servers are full":    {0, picker.ErrFull, false},
-		"a late call":             {objective, picker.ErrOnlyFaulty, false},
+		"all servers are full":          {0, picker.ErrFull, false},
+		"a late call":                   {objective, picker.ErrOnlyFaulty, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/peridot-entry/picker/faults.go
+++ b/peridot-entry/picker/faults.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"peridotswitch.example/peridot-entry/registrar"
@@ -60,6 +61,28 @@
 // isFaulty reports whether the server is to be avoided because of recent faults.
 func (s *server) isFaulty(now time.Time) bool { return now.Before(s.faultyUntil) }
 
+// isAvoided reports whether the server is faulty, and among the worst if too many are.
+func (g *group) isAvoided(s *server, now time.Time) bool {
+	return s.isFaulty(now) && s.faults.value(now) > g.faultyCutoff
+}
+
+// updateFaultyCutoff chooses faultyCutoff so that no more than maxFaultyShare of the servers are avoided.
+func (g *group) updateFaultyCutoff(now time.Time) {
+	g.faultyCutoff = 0
+	limit := int(maxFaultyShare * float64(len(g.servers)))
+	if g.faultyCount <= limit {
+		return
+	}
+	var faults []float64
+	for _, s := range g.servers {
+		if s.isFaulty(now) {
+			faults = append(faults, s.faults.value(now))
+		}
+	}
+	slices.Sort(faults)
+	g.faultyCutoff = faults[len(faults)-limit-1]
+}
+
 // callsPerServer estimates the decayed number of calls that all entries have sent to each server.
 func (g *group) callsPerServer(now time.Time) float64 {
 	return g.calls.value(now) * float64(g.entries()) / float64(max(len(g.servers), 1))
--- a/peridot-entry/picker/faults_test.go
+++ b/peridot-entry/picker/faults_test.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -113,3 +114,42 @@
 		}
 	}
 }
+
+// Entries choose different subsets of the servers. Names that differ only in a number must not make many of them choose the same ones.
+func TestSubsetsAreSpreadOverServers(t *testing.T) {
+	tests := map[string]struct{ entry, server string }{
+		"numbered names": {"e%d", "s%d"},
+		"long names":     {"front-centro-a-%d", "inventory-server-%d"},
+		"padded numbers": {"front-%04d", "i-%08d"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var view []registrar.Server
+			for i := range largeServers {
+				view = append(view, registrar.Server{InstanceID: fmt.Sprintf(tt.server, i), AvailabilityZone: "a", Connections: 1000})
+			}
+			chosen := make(map[string]int)
+			for i := range largeEntries {
+				cfg := Config{InstanceID: fmt.Sprintf(tt.entry, i), AvailabilityZone: "a", MaxInFlight: func(n int) int { return n }}
+				g := newGroup(cfg)
+				g.update(view, cfg, time.Unix(1000, 0))
+				for _, s := range g.servers {
+					if s.inSubset {
+						chosen[s.announced.InstanceID]++
+					}
+				}
+			}
+			// A random choice gives a binomial number of entries to each server, which exceeds twice its mean for one server in a
+			// thousand.
+			mean := largeEntries * subsetSize / largeServers
+			for id, n := range chosen {
+				if n > 5*mean/2 {
+					t.Errorf("%d of %d entries chose %s, want at most %d", n, largeEntries, id, 5*mean/2)
+				}
+			}
+			if len(chosen) < largeServers {
+				t.Errorf("%d of %d servers were chosen", len(chosen), largeServers)
+			}
+		})
+	}
+}
--- a/peridot-entry/picker/group.go
+++ b/peridot-entry/picker/group.go
@@ -75,9 +75,10 @@
 	recentCount int
 	// calls is the decayed number of this entry's calls.
 	calls decayed
-	// faultyCount is the number of faulty servers. faultyIgnored is set while so many are that there must be another cause.
-	faultyCount   int
-	faultyIgnored bool
+	// faultyCount is the number of faulty servers. While there are more than maxFaultyShare, only those whose faults exceed faultyCutoff
+	// are avoided.
+	faultyCount  int
+	faultyCutoff float64
 	// now is the time of the last pick under Expected.
 	now      time.Time
 	eligible []*server
@@ -129,7 +130,7 @@
 		if s.hash == 0 {
 			h := fnv.New64a()
 			_, _ = h.Write([]byte(entry + "/" + s.announced.InstanceID))
-			s.hash = h.Sum64() | 1
+			s.hash = mixBits(h.Sum64()) | 1
 		}
 	}
 	slices.SortFunc(ranked, func(a, b *server) int {
@@ -145,6 +146,16 @@
 	}
 }
 
+// mixBits makes every bit of a hash depend on all of them. In the order of plain FNV-1a hashes, servers whose ids differ only at the end
+// are next to each other, so that many entries would choose the same ones.
+func mixBits(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
 func boolToInt(b bool) int {
 	if b {
 		return 1
@@ -188,7 +199,7 @@
 		return g.collectFrom(r, now, false, true)
 	}
 	for _, faulty := range []bool{false, true} {
-		if !faulty && (r.AllowFaulty || g.faultyIgnored) {
+		if !faulty && r.AllowFaulty {
 			continue
 		}
 		for _, subset := range []bool{true, false} {
@@ -204,7 +215,7 @@
 func (g *group) collectFrom(r *Request, now time.Time, subset, faulty bool) (full bool) {
 	g.eligible = g.eligible[:0]
 	for _, s := range g.servers {
-		if subset && !s.inSubset || s.announced.State != registrar.Ready || contains(r.Exclude, s) || !faulty && s.isFaulty(now) {
+		if subset && !s.inSubset || s.announced.State != registrar.Ready || contains(r.Exclude, s) || !faulty && g.isAvoided(s, now) {
 			continue
 		}
 		if s.inFlight >= s.maxInFlight || r.Deferrable && g.load(s, now) > float64(s.announced.Slots)-reservedSlots {
@@ -321,7 +332,7 @@
 			reporting++
 		}
 	}
-	g.faultyIgnored = float64(g.faultyCount) > maxFaultyShare*float64(len(g.servers))
+	g.updateFaultyCutoff(now)
 	if len(g.scratch) == 0 && g.recentCount >= minRecentLatencies {
 		// Where an entry has few calls for many servers, hardly any server has a mean latency of its own.
 		g.scratch = append(g.scratch, g.recent[:min(g.recentCount, recentLatencies)]...)
--- a/peridot-entry/picker/picker.go
+++ b/peridot-entry/picker/picker.go
@@ -136,7 +136,7 @@
 	now := p.cfg.Now()
 	g.update(servers, p.cfg, now)
 	s, err := g.pick(&r, now)
-	if errors.Is(err, ErrFull) && !r.AllowFaulty && g.faultyCount > 0 && !g.faultyIgnored {
+	if errors.Is(err, ErrFull) && !r.AllowFaulty && g.faultyCount > 0 {
 		err = ErrOnlyFaulty
 	}
 	if err != nil {
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -97,7 +97,7 @@
 		Policy:           picker.Expected,
 		MaxInFlight:      s.connectionCap,
 		Entries:          s.budgetEntries,
-		OnFaulty:        s.recordFaulty,
+		OnFaulty:         s.recordFaulty,
 	})
 	s.followerSet = make(chan struct{})
 	s.follow()
