--- a/peridot-entry/sender/endless_test.go
+++ b/peridot-entry/sender/endless_test.go
@@ -35,9 +35,10 @@
 					return
 				}
 				_, err := io.WriteString(c, prefix)
-				for err == nil {
+				// A string would be copied at each write, which would count as memory in use.
+				for repeated := []byte(part); err == nil; {
 					time.Sleep(pause)
-					_, err = io.WriteString(c, part)
+					_, err = c.Write(repeated)
 				}
 			}()
 		}
