--- a/peridot-control/deliverer/batch_test.go
+++ b/peridot-control/deliverer/batch_test.go
@@ -56,9 +56,10 @@
 	}{
 		"servers": {&delivererpb.WatchRequest{Revision: 1, ServersVersion: 1, WaitMs: 500}, func(v *versions, _ int) { v.advance(0, 1) }, 16*time.Millisecond + batchInterval, 9},
 		"a configuration after a server": {&delivererpb.WatchRequest{Revision: 1, ServersVersion: 1, WaitMs: 500}, func(v *versions, i int) {
-			if i == 0 {
+			switch i {
+			case 0:
 				v.advance(0, 1)
-			} else if i == 1 {
+			case 1:
 				v.advance(1, 0)
 			}
 		}, 32 * time.Millisecond, 2},
--- a/peridot-entry/dispatcher/execution.go
+++ b/peridot-entry/dispatcher/execution.go
@@ -131,30 +131,15 @@
 				return nil, err
 			}
 		}
-		req := picker.Request{
-			Service:    x.call.Service,
-			Exclude:    x.tried,
-			Deferrable: deferrable,
-			NoTrial:    x.call.Rule.IsOnce(),
-			Rank:       x.call.Rule.Rank,
-			Late:       x.isLate(),
-			FastOnly:   x.wantsFastOnly(),
-
-			AllowFaulty: allowFaulty,
-		}
-		if x.d.cfg.Probe != nil {
-			req.Candidates = x.d.cfg.Probe(ctx, req)
-		}
-		choice, err := x.d.cfg.Pick(req)
+		choice, err := x.probeAndPick(ctx, allowFaulty)
 		if err == nil {
 			return choice, nil
 		}
 		if errors.Is(err, picker.ErrFull) && x.waitForSlot(ctx) {
 			continue
 		}
-		if errors.Is(err, picker.ErrOnlyFaulty) && !x.isLate() {
+		if allowFaulty = errors.Is(err, picker.ErrOnlyFaulty) && !x.isLate(); allowFaulty {
 			// Rather than refuse the call, send it to a server that may fail it.
-			allowFaulty = true
 			continue
 		}
 		x.releasePermit(errors.Is(err, picker.ErrFull))
@@ -167,6 +152,24 @@
 	}
 }
 
+// probeAndPick picks a server among a few that were probed, once.
+func (x *execution) probeAndPick(ctx context.Context, allowFaulty bool) (*picker.Choice, error) {
+	req := picker.Request{
+		Service:     x.call.Service,
+		Exclude:     x.tried,
+		Deferrable:  x.call.Rule.Priority == parser.Deferrable,
+		NoTrial:     x.call.Rule.IsOnce(),
+		Rank:        x.call.Rule.Rank,
+		Late:        x.isLate(),
+		FastOnly:    x.wantsFastOnly(),
+		AllowFaulty: allowFaulty,
+	}
+	if x.d.cfg.Probe != nil {
+		req.Candidates = x.d.cfg.Probe(ctx, req)
+	}
+	return x.d.cfg.Pick(req)
+}
+
 // isLate reports whether the call is unlikely to meet its objective.
 func (x *execution) isLate() bool { return x.call.Rule.Objective > 0 && x.call.slack() <= 0 }
 
--- a/peridot-entry/follower/control.go
+++ b/peridot-entry/follower/control.go
@@ -211,14 +211,14 @@
 	if err != nil {
 		return err
 	}
-	if reply.Changed {
-		documents, err := f.resolveDocuments(reply)
-		if err != nil {
-			return err
-		}
-		if err = f.install(documents); err != nil {
-			return err
-		}
+	return w.applyReply(reply, sent)
+}
+
+// applyReply takes over what a reply brings; sent is when its request was sent.
+func (w *watcher) applyReply(reply *delivererpb.WatchReply, sent time.Time) error {
+	f := w.f
+	if err := f.applyDocuments(reply); err != nil {
+		return err
 	}
 	if f.cfg.OnServers != nil && reply.ServersVersion > f.serversVersion {
 		servers, err := decodeServers(reply)
@@ -249,6 +249,18 @@
 	return nil
 }
 
+// applyDocuments installs the configuration of a reply, if it has one.
+func (f *Follower) applyDocuments(reply *delivererpb.WatchReply) error {
+	if !reply.Changed {
+		return nil
+	}
+	documents, err := f.resolveDocuments(reply)
+	if err != nil {
+		return err
+	}
+	return f.install(documents)
+}
+
 // decodeServers returns the backend servers of a reply, which are either listed or compressed.
 func decodeServers(reply *delivererpb.WatchReply) (servers []*delivererpb.BackendServer, err error) {
 	defer func() { err = errors.WithMessage(err, "decode backend servers") }()
