After a restart of everything, control tells entries where its members are

Cause: entries keep nothing across a restart and know only the three seeds, which come back up to 0.3 s after the others. Ruled out: the election (0.16 s after the tenth member), the disk, the size of the table. Change: package greeter: each control member stores the entries of its zone and calls them when it starts, each entry by one member first and after 0.15 s by the others of the zone; the entry adds the addresses and tries them at once.

--- a/peridot-control/supervisor/supervisor.go
+++ b/peridot-control/supervisor/supervisor.go
@@ -20,6 +20,7 @@
 	"peridotswitch.example/common/server"
 	"peridotswitch.example/peridot-control/arbiter"
 	"peridotswitch.example/peridot-control/deliverer"
+	"peridotswitch.example/peridot-control/greeter"
 	"peridotswitch.example/peridot-control/keeper"
 	"peridotswitch.example/peridot-control/recorder"
 	"peridotswitch.example/peridot-control/replicator"
@@ -76,6 +77,7 @@
 	replicator *replicator.Replicator
 	steward    *steward.Steward
 	deliverer  *deliverer.Deliverer
+	greeter    *greeter.Greeter
 	srv        *server.Server
 	keeper     *keeper.Keeper
 	metrics    *reporter.Metrics
@@ -133,6 +135,7 @@
 	s.gauges = newGauges(s)
 	s.startDeliverer()
 	s.serve()
+	s.startGreeter()
 	cfg.Log.Info().Str("listen", s.listener.Addr().String()).Msg("control member started")
 	return nil
 }
@@ -234,6 +237,19 @@
 	})
 }
 
+// startGreeter starts to tell entries of control.
+func (s *Supervisor) startGreeter() {
+	s.greeter = greeter.New(greeter.Config{
+		Dir: s.cfg.DataDir, InstanceID: s.cfg.InstanceID, AvailabilityZone: s.cfg.AvailabilityZone,
+		Entries: func() []*delivererpb.EntryMember {
+			list, _ := s.deliverer.Entries()
+			return list
+		},
+		Members: func() []*delivererpb.ControlMember { return s.status().Members },
+		Greet:   greeter.Call, Sync: s.cfg.Sync, Log: s.cfg.Log,
+	})
+}
+
 func (s *Supervisor) serve() {
 	mux := http.NewServeMux()
 	mux.Handle(replicatorpb.ReplicatorPathPrefix, replicatorpb.NewReplicatorServer(s.replicator))
@@ -252,6 +268,7 @@
 func (s *Supervisor) Close(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessage(err, "stop control member") }()
 	s.steward.Close()
+	s.greeter.Close()
 	transferCtx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	if err := s.replicator.TransferLeadership(transferCtx); err != nil {
--- a/peridot-entry/follower/control.go
+++ b/peridot-entry/follower/control.go
@@ -108,7 +108,8 @@
 	return list
 }
 
-// selectReachable changes to the first candidate that accepts a connection, and reports false if none does within reachTimeout.
+// selectReachable changes to the first candidate that accepts a connection, and reports false if none does within reachTimeout or there
+// are new candidates.
 // Candidates are dialed in parallel, because one that has lost power would delay the attempts at the others.
 func (w *watcher) selectReachable(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
@@ -126,6 +127,8 @@
 	select {
 	case w.current = <-reachable:
 		return true
+	case <-w.f.learnedSignal:
+		return false
 	case <-ctx.Done():
 		return false
 	}
@@ -166,12 +169,16 @@
 	}}
 }
 
-// addSeeds adds the seed addresses that the settings name now.
+// addSeeds adds the seed addresses that the settings name now, and those that control members have told this entry.
 func (w *watcher) addSeeds() {
-	if w.f.cfg.Seeds == nil {
-		return
-	}
-	for _, address := range w.f.cfg.Seeds() {
+	var addresses []string
+	if w.f.cfg.Seeds != nil {
+		addresses = w.f.cfg.Seeds()
+	}
+	w.f.learnedMu.Lock()
+	addresses = append(slices.Clone(addresses), w.f.learned...)
+	w.f.learnedMu.Unlock()
+	for _, address := range addresses {
 		if !slices.Contains(w.addresses, address) {
 			w.addresses = append(w.addresses, address)
 		}
--- a/peridot-entry/follower/follower.go
+++ b/peridot-entry/follower/follower.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,6 +59,10 @@
 	installMu      sync.Mutex
 	// serversVersion is the version of the backend server table held. Only the goroutine that watches uses it.
 	serversVersion uint64
+	// learned holds the addresses of control members that Learn was given; learnedSignal interrupts the search for a member.
+	learnedMu     sync.Mutex
+	learned       []string
+	learnedSignal chan struct{}
 	// wake interrupts the current watch, so that the next one begins at once.
 	wake   chan struct{}
 	cancel context.CancelFunc
@@ -75,7 +81,7 @@
 	if cfg.ParseRouting == nil {
 		cfg.ParseRouting = parser.ParseRouting
 	}
-	f := &Follower{cfg: cfg, cancel: cancel, wake: make(chan struct{}, 1)}
+	f := &Follower{cfg: cfg, cancel: cancel, wake: make(chan struct{}, 1), learnedSignal: make(chan struct{}, 1)}
 	f.entries.Store(&[]*delivererpb.EntryMember{})
 	f.controlExpires.Store(&time.Time{})
 	f.peersExpires.Store(&time.Time{})
@@ -105,6 +111,29 @@
 	}
 }
 
+// maxLearned limits the addresses that Learn keeps.
+const maxLearned = 64
+
+// Learn adds addresses of control members, as ip:port, to those that are tried when no member has responded yet.
+func (f *Follower) Learn(addresses []string) {
+	f.learnedMu.Lock()
+	added := false
+	for _, address := range addresses {
+		if _, err := netip.ParseAddrPort(address); err == nil && len(f.learned) < maxLearned && !slices.Contains(f.learned, address) {
+			f.learned = append(f.learned, address)
+			added = true
+		}
+	}
+	f.learnedMu.Unlock()
+	if !added {
+		return
+	}
+	select {
+	case f.learnedSignal <- struct{}{}:
+	default:
+	}
+}
+
 // Current returns the newest configuration that this entry holds, or nil if it has none yet.
 func (f *Follower) Current() *parser.Configuration {
 	if c := f.current.Load(); c != nil {
--- a/peridot-entry/follower/reachable_test.go
+++ b/peridot-entry/follower/reachable_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -39,7 +40,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			w := &watcher{failedMembers: make(map[string]bool)}
+			w := &watcher{f: &Follower{}, failedMembers: make(map[string]bool)}
 			for _, m := range tt.members {
 				w.addresses = append(w.addresses, m(t))
 			}
@@ -57,3 +58,30 @@
 		})
 	}
 }
+
+// After a restart an entry knows only the seeds. When a control member tells it of others, it must not wait for the seeds any longer.
+func TestLearnedMemberIsUsedBeforeTheSeedsReturn(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	f := &Follower{cfg: Config{OnError: func(error) {}, Seeds: func() []string { return []string{"127.0.0.1:1"} }}, learnedSignal: make(chan struct{}, 1)}
+	w := &watcher{f: f, addresses: []string{"127.0.0.1:1"}, failedMembers: make(map[string]bool)}
+	const delay = 50 * time.Millisecond
+	time.AfterFunc(delay, func() { f.Learn([]string{"no address", l.Addr().String()}) })
+	start := time.Now()
+	w.waitForReachable(context.Background())
+	if elapsed := time.Since(start); w.address() != l.Addr().String() || elapsed >= reachTimeout {
+		t.Errorf("chose %s after %v, want the learned member before %v", w.address(), elapsed, reachTimeout)
+	}
+	if len(w.addresses) != 2 {
+		t.Errorf("addresses are %v, want the seed and the learned one", w.addresses)
+	}
+	for i := range 2 * maxLearned {
+		f.Learn([]string{fmt.Sprintf("127.0.0.1:%d", 1000+i)})
+	}
+	if len(f.learned) != maxLearned {
+		t.Errorf("%d addresses are kept, want at most %d", len(f.learned), maxLearned)
+	}
+}
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -175,22 +175,33 @@
 		Initialized:   s.initialized,
 	})
 	s.informer = informer.New(informer.Config{
-		InstanceID:     s.cfg.InstanceID,
-		Listener:       operators,
-		CheckReady:     s.Ready,
-		Metrics:        s.stats.metrics.Handler(),
-		Configuration:  s.follower.Current,
-		Entries:        s.follower.Entries,
-		RecentTraces:   s.stats.traces.Recent,
-		FindTraces:     s.stats.traces.Find,
-		Counts:         s.stats.accountant.Counts,
-		CountedFor:     s.stats.accountant.CountedFor,
-		Servers:        func() []informer.ServerStatus { return nil },
-		Contained:      func() any { return nil },
-		RegisterRoutes: func(*http.ServeMux) {},
+		InstanceID:    s.cfg.InstanceID,
+		Listener:      operators,
+		CheckReady:    s.Ready,
+		Metrics:       s.stats.metrics.Handler(),
+		Configuration: s.follower.Current,
+		Entries:       s.follower.Entries,
+		RecentTraces:  s.stats.traces.Recent,
+		FindTraces:    s.stats.traces.Find,
+		Counts:        s.stats.accountant.Counts,
+		CountedFor:    s.stats.accountant.CountedFor,
+		Servers:       func() []informer.ServerStatus { return nil },
+		Contained:     func() any { return nil },
+		RegisterRoutes: func(mux *http.ServeMux) {
+			mux.Handle(delivererpb.GreeterPathPrefix, delivererpb.NewGreeterServer(greeted{s.follower}))
+		},
 	})
 }
 
+// greeted implements delivererpb.Greeter.
+type greeted struct{ follower *follower.Follower }
+
+// Greet implements delivererpb.Greeter.
+func (g greeted) Greet(_ context.Context, req *delivererpb.GreetRequest) (*delivererpb.GreetReply, error) {
+	g.follower.Learn(req.Control)
+	return &delivererpb.GreetReply{}, nil
+}
+
 // Close stops the entry. The entry is removed from the address lists given to callers, goes on taking calls for LameDuck, refuses
 // them for half as long, and then waits for calls in flight until ctx ends.
 func (s *Routed) Close(ctx context.Context) (err error) {
