--- a/peridot-control/steward/steward.go
+++ b/peridot-control/steward/steward.go
@@ -43,6 +43,8 @@
 
 const (
 	checkInterval = 250 * time.Millisecond
+	// busyInterval is the check interval while the membership changes: at the first start of many members each needs two changes.
+	busyInterval  = 25 * time.Millisecond
 	changeTimeout = 5 * time.Second
 	// maxLearnerLag is the number of committed log entries that a learner may lack when it is promoted.
 	maxLearnerLag = 16
@@ -54,17 +56,19 @@
 	s := &Steward{cfg: cfg, cancel: cancel}
 	s.alarms.Store(&[]string{})
 	s.wg.Go(func() {
+		interval := checkInterval
 		for {
 			select {
 			case <-ctx.Done():
 				return
-			case <-time.After(checkInterval):
+			case <-time.After(interval):
 			}
 			st := cfg.Status()
 			alarms := s.currentAlarms(st)
 			s.alarms.Store(&alarms)
-			if st.IsLeader && st.MembershipCommitted {
-				s.runNextChange(ctx, st)
+			interval = checkInterval
+			if st.IsLeader && (!st.MembershipCommitted || s.runNextChange(ctx, st)) {
+				interval = busyInterval
 			}
 		}
 	})
@@ -86,16 +90,21 @@
 	run         func(context.Context) error
 }
 
-func (s *Steward) runNextChange(ctx context.Context, st *replicator.Status) {
+// runNextChange makes the next membership change and reports whether there was one, or a learner to wait for.
+func (s *Steward) runNextChange(ctx context.Context, st *replicator.Status) bool {
 	next := s.nextChange(st)
-	if next == nil || !s.mu.TryLock() {
-		return
+	if next == nil {
+		return countVoters(st) < len(st.Members)
+	}
+	if !s.mu.TryLock() {
+		return false
 	}
 	defer s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	err := next.run(ctx)
 	s.cfg.Log.Info().Err(err).Msg(next.description)
+	return err == nil
 }
 
 // nextChange returns the next membership change to make, or nil. A replacement is first added as a learner and promoted once it has
--- a/peridot-control/steward/steward_test.go
+++ b/peridot-control/steward/steward_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"peridotswitch.example/peridot-control/replicator"
 	"peridotswitch.example/peridot-control/replicatorpb"
 )
@@ -58,3 +63,56 @@
 		})
 	}
 }
+
+// At the first start, sixteen members join the three that found the cluster, one change at a time. They must all vote well before the
+// first callers arrive, or the loss of two of the three would stop control.
+func TestManyMembersJoinQuickly(t *testing.T) {
+	const members, commit = 19, 20 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		list := []replicator.MemberStatus{member(1, "a", true, 0), member(2, "b", true, 0), member(3, "c", true, 0)}
+		var spares []*replicatorpb.Member
+		for id := uint64(4); id <= members; id++ {
+			spares = append(spares, &replicatorpb.Member{Id: id, InstanceId: string(rune('a' + id - 1))})
+		}
+		s := New(Config{
+			Status: func() *replicator.Status {
+				mu.Lock()
+				defer mu.Unlock()
+				return &replicator.Status{IsLeader: true, Leader: list[0].Member, MembershipCommitted: true, Members: slices.Clone(list), Commit: 10}
+			},
+			Spares: func() []*replicatorpb.Member {
+				mu.Lock()
+				defer mu.Unlock()
+				return slices.Clone(spares)
+			},
+			AddLearner: func(_ context.Context, m *replicatorpb.Member) error {
+				time.Sleep(commit)
+				mu.Lock()
+				defer mu.Unlock()
+				list = append(list, member(m.Id, m.InstanceId, false, 0))
+				spares = slices.DeleteFunc(spares, func(s *replicatorpb.Member) bool { return s.Id == m.Id })
+				return nil
+			},
+			Promote: func(_ context.Context, id uint64) error {
+				time.Sleep(commit)
+				mu.Lock()
+				defer mu.Unlock()
+				for i := range list {
+					if list[i].Member.Id == id {
+						list[i] = member(id, list[i].Member.InstanceId, true, 0)
+					}
+				}
+				return nil
+			},
+			ReplaceAfter: 10 * time.Second, MaxVoters: 63, Log: zerolog.Nop(),
+		})
+		defer s.Close()
+		time.Sleep(3 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		if n := countVoters(&replicator.Status{Members: list}); n != members {
+			t.Errorf("%d members vote after 3 s, want %d", n, members)
+		}
+	})
+}
