The start of hundreds of entries: the full list is compressed each 0.2 s at most, renewals wait 50 ms

Each reply compressed the list of entries, which changes with each of them, and each state of each entry caused a renewal with the leader. Change: a full list may be 0.2 s old, the changes follow; lists of changes are compressed no more; a member's renewals are 50 ms apart.

--- a/peridot-control/deliverer/deliverer.go
+++ b/peridot-control/deliverer/deliverer.go
@@ -92,9 +92,11 @@
 	// that is shorter.
 	forwardInterval   = time.Second
 	forwardLeaseShare = 0.4
-	renewTimeout      = 600 * time.Millisecond
-	confirmTimeout    = 700 * time.Millisecond
-	maxWait           = 10 * time.Second
+	// minRenewInterval is the least time between two renewals of a member. When hundreds of entries start, each would otherwise cause one.
+	minRenewInterval = 50 * time.Millisecond
+	renewTimeout     = 600 * time.Millisecond
+	confirmTimeout   = 700 * time.Millisecond
+	maxWait          = 10 * time.Second
 )
 
 // Deliverer implements delivererpb.Deliverer and operatorpb.Operator.
@@ -120,7 +122,7 @@
 	routingDeltas    routingDeltas
 
 	compressedServers compressedServers
-	compressedEntries compressedEntries
+	compressedList    compressedList
 	faults            *faultLog
 }
 
--- a/peridot-control/deliverer/entries.go
+++ b/peridot-control/deliverer/entries.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -14,8 +15,13 @@
 	"peridotswitch.example/common/differ"
 )
 
-// minCompressedEntries is the number of entries from which a list of them is compressed.
-const minCompressedEntries = 16
+const (
+	// minCompressedEntries is the number of entries from which a list of them is compressed.
+	minCompressedEntries = 64
+	// fullListMaxAge is how long a compressed full list is sent although the list has changed since: the next reply brings the changes.
+	// While hundreds of entries start, the list changes with every reply.
+	fullListMaxAge = 200 * time.Millisecond
+)
 
 // addLists adds the lists of entries and control members to the reply, as far as the entry doesn't hold them.
 func (d *Deliverer) addLists(reply *delivererpb.WatchReply, req *delivererpb.WatchRequest) {
@@ -30,18 +36,15 @@
 	if reply.ControlVersion = controlVersion(control); reply.ControlVersion != req.ControlVersion {
 		reply.Control = control
 	}
-	held := listVersion(req.EntriesVersion)
-	changes := d.table.changesSince(held)
-	reply.EntriesVersion, reply.EntriesDelta, reply.EntriesPartial = uint64(changes.version), !changes.full, changes.partial
-	reply.EntriesGone = changes.gone
-	if len(changes.members) >= minCompressedEntries {
-		var err error
-		if reply.EntriesPacked, err = d.compressedEntries.get(held, changes); err == nil {
+	changes := d.table.changesSince(listVersion(req.EntriesVersion))
+	if changes.full && len(changes.members) >= minCompressedEntries {
+		if full, err := d.compressedList.get(changes, d.cfg.Now()); err == nil {
+			reply.EntriesVersion, reply.EntriesPartial, reply.EntriesPacked = uint64(full.version), full.partial, full.data
 			return
 		}
-		d.cfg.Log.Warn().Err(err).Msg("failed to compress the list of entries; sending it uncompressed")
 	}
-	reply.Entries = changes.members
+	reply.EntriesVersion, reply.EntriesDelta, reply.EntriesPartial = uint64(changes.version), !changes.full, changes.partial
+	reply.Entries, reply.EntriesGone = changes.members, changes.gone
 }
 
 // waitForList returns a channel that is closed once the entry's list of entries is out of date, or nil if the reply should not wait for
@@ -72,35 +75,36 @@
 	return uint64(entries) ^ controlVersion(control)
 }
 
-// compressedEntries caches compressed lists of entries, so that each is compressed once for all entries that hold the same version.
-type compressedEntries struct {
-	mu sync.Mutex
-	// version is the version to which the lists in data lead, which are keyed by the version from which they lead.
-	version listVersion
-	data    map[listVersion][]byte
+// compressedList caches the compressed full list of entries, so that it is compressed once for all entries that ask for it.
+type compressedList struct {
+	mu      sync.Mutex
+	current fullList
 }
 
-func (c *compressedEntries) get(held listVersion, changes *listChanges) (data []byte, err error) {
+// fullList is a compressed full list of entries.
+type fullList struct {
+	version      listVersion
+	partial      bool
+	data         []byte
+	compressedAt time.Time
+}
+
+// get returns the compressed list; it may be up to fullListMaxAge old.
+func (c *compressedList) get(changes *listChanges, now time.Time) (list fullList, err error) {
 	defer func() { err = errors.WithMessage(err, "compress entries") }()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if changes.full {
-		held = 0
-	}
-	if changes.version != c.version {
-		c.version, c.data = changes.version, make(map[listVersion][]byte)
-	}
-	if data = c.data[held]; data != nil {
-		return data, nil
+	if cur := &c.current; cur.data != nil && cur.version.isComparable(changes.version) && cur.version <= changes.version &&
+		(cur.version == changes.version || now.Sub(cur.compressedAt) < fullListMaxAge) {
+		return *cur, nil
 	}
 	slices.SortFunc(changes.members, compareIDs)
 	encoded, err := proto.Marshal(&delivererpb.EntryMembers{Entries: changes.members})
 	if err != nil {
-		return nil, err
+		return list, err
 	}
-	data = differ.Encode(nil, encoded)
-	c.data[held] = data
-	return data, nil
+	c.current = fullList{changes.version, changes.partial, differ.Encode(nil, encoded), now}
+	return c.current, nil
 }
 
 // renewWithLeader sends a renewal to the leader at address and brings this member's copy of the list up to date.
--- a/peridot-control/deliverer/renewer.go
+++ b/peridot-control/deliverer/renewer.go
@@ -65,6 +65,9 @@
 				continue
 			}
 		case <-d.renewSignal:
+			if !sleep(ctx, last.Add(minRenewInterval).Sub(d.cfg.Now())) {
+				return
+			}
 		}
 		last = d.cfg.Now()
 		renewCtx, cancel := context.WithTimeout(ctx, renewTimeout)
@@ -73,6 +76,21 @@
 	}
 }
 
+// sleep sleeps for d, if it is positive, and reports false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
 // currentRenewInterval is shorter while there are fault reports, which are useful only while they are recent.
 func (d *Deliverer) currentRenewInterval() time.Duration {
 	if d.faults.isActive(d.cfg.Now()) {
