Picker: probed servers outside the subset are used, faulty ones in it are replaced by the next in order

Cause: Pick considered only candidates inside the entry's subset, so that the further rounds of probes of a call whose subset was full or slow were in vain, and the call waited or was refused. Both tests fail on the code before.

--- a/peridot-entry/picker/expected.go
+++ b/peridot-entry/picker/expected.go
@@ -70,11 +70,12 @@
 	return g.best(r, g.sample(n), now)
 }
 
-// bestCandidate returns the best of the eligible servers among the request's candidates.
+// bestCandidate returns the best of the request's candidates that may take the call. Candidates of later rounds of probes may be outside the
+// entry's subset.
 func (g *group) bestCandidate(r *Request, now time.Time) *server {
 	var candidates []*server
-	for _, s := range g.eligible {
-		if contains(r.Candidates, s) {
+	for _, s := range g.servers {
+		if contains(r.Candidates, s) && mayTake(s, r) && s.inFlight < s.maxInFlight {
 			candidates = append(candidates, s)
 		}
 	}
--- a/peridot-entry/picker/faults_test.go
+++ b/peridot-entry/picker/faults_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotswitch.example/peridot-entry/registrar"
+	"peridotswitch.example/peridot-entry/sender"
 )
 
 // The size of a zone of a large deployment: each entry sends about one call a second to each service, so that it meets a faulty server
@@ -153,3 +154,71 @@
 		})
 	}
 }
+
+// When the servers that an entry usually calls are full, further rounds of probes go to other servers, and the call must go to one of these
+// that has room.
+func TestCallGoesToProbedServerOutsideTheSubset(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var view []registrar.Server
+	for i := range 2 * subsetThreshold {
+		view = append(view, registrar.Server{
+			Service: "s", InstanceID: fmt.Sprint("i-", i), AvailabilityZone: "a", State: registrar.Ready, Slots: 6, Connections: 1000,
+		})
+	}
+	p := New(Config{InstanceID: "e", AvailabilityZone: "a", Policy: Expected, Servers: func(string) []registrar.Server { return view }, Now: func() time.Time { return now }})
+	req, probed := Request{Service: "s"}, 0
+	for rounds := 0; len(req.Candidates) == 0 || !p.HasSuitable(req, req.Candidates); rounds++ {
+		if rounds > 2*subsetThreshold {
+			t.Fatal("no server with room was probed")
+		}
+		stale, _ := p.Candidates(Request{Service: "s", Exclude: req.Candidates}, 2, 0)
+		for _, b := range stale {
+			load := sender.Load{InFlight: 6, Slots: 6, Slowdown: 1}
+			if probed++; probed > subsetSize {
+				load.InFlight = 0
+			}
+			p.Observe(b.Key(), load)
+			req.Candidates = append(req.Candidates, b.Key())
+		}
+	}
+	if probed > subsetSize+2 {
+		t.Errorf("%d servers were probed, want at most the subset and one more round", probed)
+	}
+	c, err := p.Pick(req)
+	if err != nil {
+		t.Fatalf("no server was picked: %v", err)
+	}
+	if c.server.reportedInFlight > 0 {
+		t.Errorf("a full server was picked")
+	}
+}
+
+// When servers of its subset are faulty, an entry uses the next ones in its order instead of random ones of the whole service, to which it
+// would have to open connections, and prefers its zone.
+func TestFaultyServersAreReplacedInTheSubset(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var view []registrar.Server
+	for i := range 4 * subsetThreshold {
+		view = append(view, registrar.Server{
+			Service: "s", InstanceID: fmt.Sprint("i-", i), AvailabilityZone: string(rune('a' + i%2)), State: registrar.Ready, Slots: 6, Connections: 1000,
+		})
+	}
+	p := New(Config{InstanceID: "e", AvailabilityZone: "a", Policy: Expected, Servers: func(string) []registrar.Server { return view }, Now: func() time.Time { return now }})
+	used := make(map[string]bool)
+	for range 20 * subsetSize {
+		c, err := p.Pick(Request{Service: "s"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.Server.AvailabilityZone != "a" {
+			t.Fatalf("%s of another zone was picked", c.Server.InstanceID)
+		}
+		if used[c.Server.InstanceID] = true; len(used) <= subsetSize/2+1 {
+			p.ObserveFaults([]FaultReport{{Key: c.Server.Key(), Faults: 100}})
+		}
+		c.Done(Result{Status: 200, Latency: time.Millisecond})
+	}
+	if most := 2 * subsetSize; len(used) > most {
+		t.Errorf("%d servers were used, want at most %d", len(used), most)
+	}
+}
--- a/peridot-entry/picker/group.go
+++ b/peridot-entry/picker/group.go
@@ -51,7 +51,8 @@
 	entries  func() int
 	onFaulty func(FaultyServer)
 	// view is the registrar's list that servers was made from.
-	view    []registrar.Server
+	view []registrar.Server
+	// servers are in the order in which this entry prefers them.
 	servers []*server
 	// known holds the servers and, for the retention time, those that are no longer announced.
 	known map[identity]*server
@@ -125,7 +126,7 @@
 // choosePreferred chooses this entry's preferred servers and its subset, those in its availability zone first and otherwise in an order
 // that differs from entry to entry. An entry has the freshest load reports from the servers that it sends the most calls to.
 func (g *group) choosePreferred(entry string) {
-	ranked := slices.Clone(g.servers)
+	ranked := g.servers
 	for _, s := range ranked {
 		if s.hash == 0 {
 			h := fnv.New64a()
@@ -142,7 +143,7 @@
 	preferred := max(int(math.Ceil(preferredShare*float64(len(ranked)))), minPreferred)
 	for i, s := range ranked {
 		s.preferred = i < preferred
-		s.inSubset = len(ranked) <= subsetThreshold || i < subsetSize
+		s.inSubset = i < g.subsetLimit()
 	}
 }
 
@@ -196,26 +197,33 @@
 // collectEligible fills eligible; full reports whether a server was left out for its load alone.
 func (g *group) collectEligible(r *Request, now time.Time) (full bool) {
 	if g.policy != Expected {
-		return g.collectFrom(r, now, false, true)
+		return g.collectFrom(r, now, len(g.servers), true)
 	}
-	for _, faulty := range []bool{false, true} {
-		if !faulty && r.AllowFaulty {
-			continue
-		}
-		for _, subset := range []bool{true, false} {
-			if full = g.collectFrom(r, now, subset, faulty); len(g.eligible) >= sampleSize {
-				return full
-			}
+	if !r.AllowFaulty {
+		if full = g.collectFrom(r, now, g.subsetLimit(), false); len(g.eligible) >= sampleSize {
+			return full
 		}
 	}
-	return full
+	return g.collectFrom(r, now, g.subsetLimit(), true)
+}
+
+// subsetLimit returns how many servers of the service this entry sends calls to at a time.
+func (g *group) subsetLimit() int {
+	if len(g.servers) <= subsetThreshold {
+		return len(g.servers)
+	}
+	return subsetSize
 }
 
-// collectFrom fills eligible from the entry's subset or from all servers, with or without faulty ones.
-func (g *group) collectFrom(r *Request, now time.Time, subset, faulty bool) (full bool) {
+// collectFrom fills eligible with the first servers, up to limit, that may take the call, with or without faulty ones.
+func (g *group) collectFrom(r *Request, now time.Time, limit int, faulty bool) (full bool) {
 	g.eligible = g.eligible[:0]
+	n := 0
 	for _, s := range g.servers {
-		if subset && !s.inSubset || s.announced.State != registrar.Ready || contains(r.Exclude, s) || !faulty && g.isAvoided(s, now) {
+		if n == limit {
+			break
+		}
+		if !mayTake(s, r) || !faulty && g.isAvoided(s, now) {
 			continue
 		}
 		if s.inFlight >= s.maxInFlight || r.Deferrable && g.load(s, now) > float64(s.announced.Slots)-reservedSlots {
@@ -223,6 +231,9 @@
 			continue
 		}
 		g.eligible = append(g.eligible, s)
+		if !s.isEjected() {
+			n++
+		}
 	}
 	if g.policy != Corrected && g.policy != Expected {
 		return full
@@ -241,6 +252,11 @@
 	return full
 }
 
+// mayTake reports whether a server is ready and not excluded by the request.
+func mayTake(s *server, r *Request) bool {
+	return s.announced.State == registrar.Ready && !contains(r.Exclude, s)
+}
+
 // contains reports whether one of the keys has the instance id of s.
 func contains(keys []registrar.Key, s *server) bool {
 	for i := range keys {
