--- a/peridot-entry/picker/group.go
+++ b/peridot-entry/picker/group.go
@@ -235,9 +235,14 @@
 			n++
 		}
 	}
-	if g.policy != Corrected && g.policy != Expected {
-		return full
+	if g.policy == Corrected || g.policy == Expected {
+		g.dropEjected(r, now)
 	}
+	return full
+}
+
+// dropEjected removes the ejected servers from eligible, except those due for a trial call that the request may be.
+func (g *group) dropEjected(r *Request, now time.Time) {
 	kept := 0
 	for _, s := range g.eligible {
 		if !s.isEjected() || !r.NoTrial && !s.unreachable && s.isTrialDue(now) {
@@ -249,7 +254,6 @@
 	if kept > 0 {
 		g.eligible = g.eligible[:kept]
 	}
-	return full
 }
 
 // mayTake reports whether a server is ready and not excluded by the request.
