After a restart, announcements that change nothing no longer go to the new leader

All 900 backend servers announced themselves at once (1,650 refusals logged between 31.4 and 32.1), each forwarded to the leader, since members collected only for a leader that had confirmed them. All members of a zone called all of its entries (0.2 to 0.4 s of their processors). Entries took calls of before the loss for faults of the servers: a third of a subset faulty. Change: members collect unchanged announcements also in the first 2 s after their start, and refuse them at once when they are isolated, unless the leader has said that it accepts none. An entry is called by a second member after 0.6 s. Fault reports begin 3 s after an entry's start.

--- a/peridot-control/deliverer/deliverer.go
+++ b/peridot-control/deliverer/deliverer.go
@@ -101,10 +101,11 @@
 
 // Deliverer implements delivererpb.Deliverer and operatorpb.Operator.
 type Deliverer struct {
-	cfg    Config
-	table  *table
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	cfg       Config
+	startedAt time.Time
+	table     *table
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
 
 	mu sync.Mutex
 	// pending holds the entries to include in the next renewal with the leader.
@@ -136,7 +137,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cfg.EntryLease = cmp.Or(cfg.EntryLease, DefaultEntryLease)
 	d := &Deliverer{
-		cfg: cfg, table: newTable(cfg.Now, cfg.EntryLease), cancel: cancel,
+		cfg: cfg, startedAt: cfg.Now(), table: newTable(cfg.Now, cfg.EntryLease), cancel: cancel,
 		pending: make(map[string]*delivererpb.EntryMember), lastQueued: make(map[string]queuedEntry), renewSignal: make(chan struct{}, 1),
 		confirmedChanged: make(chan struct{}), clients: make(map[string]*leaderClient), faults: newFaultLog(),
 	}
--- a/peridot-control/deliverer/entries.go
+++ b/peridot-control/deliverer/entries.go
@@ -118,7 +118,7 @@
 	if err = d.cfg.WaitApplied(ctx, reply.Commit); err != nil {
 		return err
 	}
-	d.serverLeases.setCollector(address, reply.RenewsServers)
+	d.serverLeases.setAccepts(address, reply.RenewsServers)
 	d.faults.addFromLeader(reply.Faults, listVersion(reply.FaultsVersion), d.cfg.Now())
 	if reply.EntriesVersion != req.EntriesVersion {
 		d.table.apply(&listChanges{
--- a/peridot-control/deliverer/servers.go
+++ b/peridot-control/deliverer/servers.go
@@ -18,36 +18,44 @@
 const (
 	// announceTimeout is shorter than the 1 s after which backend servers try another member.
 	announceTimeout = 800 * time.Millisecond
+	// startGrace is how long after its start a member collects announcements although the leader has confirmed nothing here. A new leader
+	// gives all servers a full lease, which is longer.
+	startGrace = 2 * time.Second
 	// expireInterval is how often the leader looks for backend servers whose lease has expired.
 	expireInterval = time.Second
 )
 
+var errIsolated = errors.New("the leader has confirmed nothing here for a while")
+
 // serverLeases holds the time of the last announcement of each backend server on the leader.
 type serverLeases struct {
 	mu      sync.Mutex
 	renewed map[string]time.Time
 	// pending holds the servers whose announcements were received here and that the leader has not been told of.
 	pending map[string]bool
-	// collector is the address of the leader, if it accepts servers that other members have collected.
-	collector string
+	// refuser is the address of a leader that accepts no servers that other members have collected.
+	refuser string
 	// checked is when the leases were last checked for expiry.
 	checked time.Time
 	// expiring is set while a command that marks servers as lost is in progress.
 	expiring bool
 }
 
-// queue adds a server to the next renewal with the leader, and reports false if that leader accepts none.
-func (l *serverLeases) queue(id, leader string) bool {
+// mayQueue reports whether the leader at address accepts servers that were collected here, as far as it has replied yet.
+func (l *serverLeases) mayQueue(leader string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return leader == "" || l.refuser != leader
+}
+
+// queue adds a server to the next renewal with the leader.
+func (l *serverLeases) queue(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.collector != leader {
-		return false
-	}
 	if l.pending == nil {
 		l.pending = make(map[string]bool)
 	}
 	l.pending[id] = true
-	return true
 }
 
 // takePending returns the queued servers and empties the queue.
@@ -61,13 +69,12 @@
 	return ids
 }
 
-// setCollector records whether the leader at address accepts servers that were collected here.
-func (l *serverLeases) setCollector(address string, accepts bool) {
+// setAccepts records whether the leader at address accepts servers that were collected here.
+func (l *serverLeases) setAccepts(leader string, accepts bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.collector = ""
-	if accepts {
-		l.collector = address
+	if l.refuser = ""; !accepts {
+		l.refuser = leader
 	}
 }
 
@@ -114,14 +121,20 @@
 	defer cancel()
 	address, self := d.cfg.Leader()
 	next = d.nextAnnouncementAddress(s.AvailabilityZone)
-	switch {
-	case self:
+	if self {
 		return next, d.applyAnnouncement(ctx, s)
-	case address == "":
-		return "", errNoLeader
-	case !d.cfg.NeedsUpdate(s) && !d.isIsolated() && d.serverLeases.queue(s.InstanceID, address):
+	}
+	if !d.cfg.NeedsUpdate(s) && d.serverLeases.mayQueue(address) {
+		// Forwarding these to a leader that has just been elected, or can't be reached, would keep it from all else.
+		if d.isIsolated() && d.cfg.Now().Sub(d.startedAt) > startGrace {
+			return "", errIsolated
+		}
+		d.serverLeases.queue(s.InstanceID)
 		return next, nil
 	}
+	if address == "" {
+		return "", errNoLeader
+	}
 	_, err = d.client(address).deliverer.Announce(ctx, &delivererpb.Announcement{Server: encodeServer(s)})
 	return next, err
 }
--- a/peridot-control/greeter/greeter.go
+++ b/peridot-control/greeter/greeter.go
@@ -43,8 +43,9 @@
 	greetDuration = 2 * time.Second
 	retryInterval = 50 * time.Millisecond
 	greetTimeout  = 150 * time.Millisecond
-	// othersDelay is the time after which a member also calls the entries that other members of its zone call first.
-	othersDelay = 150 * time.Millisecond
+	// othersDelay is the time after which a member also calls the entries that other members of its zone call first, unless they are
+	// listed by then.
+	othersDelay = 600 * time.Millisecond
 	// maxParallel limits the calls in progress.
 	maxParallel = 8
 )
@@ -239,9 +240,11 @@
 	return os.Rename(name+".new", name)
 }
 
-// Call calls the entry at address over HTTP.
-func Call(ctx context.Context, address string, req *delivererpb.GreetRequest) error {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	_, err := delivererpb.NewGreeterProtobufClient("http://"+address, client).Greet(ctx, req)
-	return err
+// NewCaller returns a function that calls an entry over HTTP.
+func NewCaller() func(ctx context.Context, address string, req *delivererpb.GreetRequest) error {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	return func(ctx context.Context, address string, req *delivererpb.GreetRequest) error {
+		_, err := delivererpb.NewGreeterProtobufClient("http://"+address, client).Greet(ctx, req)
+		return err
+	}
 }
--- a/peridot-control/supervisor/supervisor.go
+++ b/peridot-control/supervisor/supervisor.go
@@ -246,7 +246,7 @@
 			return list
 		},
 		Members: func() []*delivererpb.ControlMember { return s.status().Members },
-		Greet:   greeter.Call, Sync: s.cfg.Sync, Log: s.cfg.Log,
+		Greet:   greeter.NewCaller(), Sync: s.cfg.Sync, Log: s.cfg.Log,
 	})
 }
 
--- a/peridot-entry/picker/faults.go
+++ b/peridot-entry/picker/faults.go
@@ -38,6 +38,9 @@
 	stalledLatencies = 2.5
 	// maxFaultyServers is the number of servers with new faults above which this entry's own network is the likely cause.
 	maxFaultyServers = 8
+	// settleTime is how long after its start an entry takes no part in fault reports. When everything has restarted, calls of before still
+	// occupy the servers, and an entry with few calls can't tell a slow server from a slow service.
+	settleTime = 3 * time.Second
 	// recentLatencies is how many latencies of responses a service's median is computed from, minRecentLatencies the least number.
 	recentLatencies    = 32
 	minRecentLatencies = 8
@@ -91,6 +94,9 @@
 // addFaults adds faults to a server's and decides whether it becomes or stays faulty. The times for which entries avoid it differ, so
 // that at first only a few try it again, whose reports keep the others away if it has not recovered.
 func (g *group) addFaults(s *server, n int, now time.Time) {
+	if now.Sub(g.startedAt) < settleTime {
+		return
+	}
 	s.faults.add(float64(n), now)
 	wasFaulty, calls := s.isFaulty(now), g.callsPerServer(now)
 	if !wasFaulty && s.faults.value(now) < faultyRatio*calls {
@@ -127,7 +133,7 @@
 	for _, g := range p.services {
 		reports = append(reports, g.takeFaults(p.cfg.Now())...)
 	}
-	if len(reports) > maxFaultyServers {
+	if len(reports) > maxFaultyServers || p.cfg.Now().Sub(p.startedAt) < settleTime {
 		return nil
 	}
 	return reports
--- a/peridot-entry/picker/group.go
+++ b/peridot-entry/picker/group.go
@@ -50,6 +50,8 @@
 	policy   Policy
 	entries  func() int
 	onFaulty func(FaultyServer)
+	// startedAt is when this entry started.
+	startedAt time.Time
 	// view is the registrar's list that servers was made from.
 	view []registrar.Server
 	// servers are in the order in which this entry prefers them.
@@ -91,8 +93,8 @@
 	incarnation uint64
 }
 
-func newGroup(cfg Config) *group {
-	return &group{policy: cfg.Policy, entries: cfg.Entries, onFaulty: cfg.OnFaulty, known: make(map[identity]*server), turn: rand.IntN(math.MaxInt32)}
+func newGroup(cfg Config, startedAt time.Time) *group {
+	return &group{policy: cfg.Policy, startedAt: startedAt, entries: cfg.Entries, onFaulty: cfg.OnFaulty, known: make(map[identity]*server), turn: rand.IntN(math.MaxInt32)}
 }
 
 // update takes over the registrar's list of servers. The registrar makes a new list on each change, so one at the same address is the
--- a/peridot-entry/picker/picker.go
+++ b/peridot-entry/picker/picker.go
@@ -102,9 +102,10 @@
 
 // Picker chooses backend servers.
 type Picker struct {
-	cfg      Config
-	mu       sync.RWMutex
-	services map[string]*group
+	cfg       Config
+	startedAt time.Time
+	mu        sync.RWMutex
+	services  map[string]*group
 }
 
 // New returns a Picker.
@@ -121,7 +122,7 @@
 	if cfg.Entries == nil {
 		cfg.Entries = func() int { return 1 }
 	}
-	return &Picker{cfg: cfg, services: make(map[string]*group)}
+	return &Picker{cfg: cfg, startedAt: cfg.Now(), services: make(map[string]*group)}
 }
 
 // Pick chooses a backend server for an attempt. It returns ErrNoServer or ErrFull when there is none.
@@ -243,7 +244,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if g = p.services[service]; g == nil {
-		g = newGroup(p.cfg)
+		g = newGroup(p.cfg, p.startedAt)
 		p.services[service] = g
 	}
 	return g
