A member that has just voted grants no pre-votes to others

Members that have just restarted campaign each 25 to 125 ms; one that had voted but not heard of the result granted pre-votes for the next term. Refusing pre-votes never affects safety; the random and the exhaustive schedules pass.

--- a/peridot-control/replicator/core.go
+++ b/peridot-control/replicator/core.go
@@ -62,6 +62,9 @@
 	// once any member, this one included, has led since this process started.
 	leaderContact uint64
 	seenLeader    bool
+	// votedAt is the tick of this member's last vote for another one since its start, if hasVoted is set.
+	votedAt  uint64
+	hasVoted bool
 	// electionDeadline is the tick at which to start an election.
 	electionDeadline uint64
 
@@ -278,6 +281,9 @@
 		if c.now < c.cfg.leaseTicks {
 			base = c.cfg.leaseTicks - c.now
 		}
+		if c.hasJustVoted() {
+			base = c.cfg.leaseTicks
+		}
 	}
 	c.electionDeadline = c.now + base + c.cfg.rand.Uint64N(jitter)
 }
--- a/peridot-control/replicator/election.go
+++ b/peridot-control/replicator/election.go
@@ -48,7 +48,7 @@
 	canVote := c.vote.For == 0 || c.vote.For == m.From
 	if preVote {
 		reply.Kind, reply.Term = replicatorpb.MessageKind_PRE_VOTE_REPLY, m.Term
-		canVote = m.Term > c.vote.Term && (m.Transfer || !c.withinLeaderLease())
+		canVote = m.Term > c.vote.Term && (m.Transfer || !c.withinLeaderLease() && !c.hasJustVoted())
 	}
 	last := c.log.lastIndex()
 	upToDate := m.LogTerm > c.log.term(last) || m.LogTerm == c.log.term(last) && m.Index >= last
@@ -60,11 +60,18 @@
 	if !preVote {
 		c.vote.For = m.From
 		c.voteChanged = true
+		c.hasVoted, c.votedAt = true, c.now
 		c.resetElectionDeadline()
 	}
 	c.send(reply)
 }
 
+// hasJustVoted reports whether this member has voted so recently that the candidate may have won without its knowledge. After a restart of
+// many members, pre-votes granted meanwhile would depose the new leader.
+func (c *core) hasJustVoted() bool {
+	return c.hasVoted && c.now-c.votedAt < c.cfg.leaseTicks
+}
+
 // withinLeaderLease reports whether this member leads, has heard from a leader within the election timeout, or may have
 // acknowledged a leader just before a restart, so that the leader's lease may still be valid.
 func (c *core) withinLeaderLease() bool {
