--- a/peridot-entry/picker/faults_test.go
+++ b/peridot-entry/picker/faults_test.go
@@ -224,3 +224,35 @@
 		t.Errorf("%d servers were used, want at most %d", len(used), most)
 	}
 }
+
+// After a loss of power of all machines, calls of before occupy the servers for a while. An entry that has just started must not take them
+// for faulty.
+func TestFaultsDoNotCountAfterAStart(t *testing.T) {
+	tests := map[string]struct {
+		after time.Duration
+		want  bool
+	}{
+		"just started": {settleTime - time.Millisecond, false},
+		"settled":      {settleTime, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			view := []registrar.Server{{Service: "s", InstanceID: "i", State: registrar.Ready, Slots: 6, Connections: 100}}
+			p := New(Config{Policy: Expected, Servers: func(string) []registrar.Server { return view }, Now: func() time.Time { return now }})
+			now = now.Add(tt.after)
+			c, err := p.Pick(Request{Service: "s"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Done(Result{Status: 500, Latency: time.Millisecond})
+			p.ObserveFaults([]FaultReport{{Key: view[0].Key(), Faults: 3}})
+			if got := p.group("s").servers[0].isFaulty(now); got != tt.want {
+				t.Errorf("faulty is %t, want %t", got, tt.want)
+			}
+			if got := len(p.TakeFaults()) > 0; got != tt.want {
+				t.Errorf("reported is %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
