--- a/peridot-entry/picker/expected.go
+++ b/peridot-entry/picker/expected.go
@@ -209,6 +209,16 @@
 	return weight*s.slowdown + (1-weight)*max(g.meanSlowdown, 1)
 }
 
+// expectedSlowdown is how many times longer than usual one more call at s is expected to take, because of noisy neighbours or the server's
+// own load.
+func (g *group) expectedSlowdown(s *server, now time.Time) float64 {
+	slowdown := max(g.currentSlowdown(s, now), 1)
+	if g.load(s, now)+1 > kneeUtilization*float64(max(s.announced.Slots, 1)) {
+		slowdown *= aboveKneeFactor
+	}
+	return slowdown
+}
+
 // stallFactor is the factor, at least 1, by which the age of the oldest call in flight raises the server's expected time.
 func (s *server) stallFactor(median float64, now time.Time) float64 {
 	if median <= 0 {
--- a/peridot-entry/picker/faults.go
+++ b/peridot-entry/picker/faults.go
@@ -27,15 +27,18 @@
 const (
 	// faultHalfLife is the time in which a fault loses half its weight.
 	faultHalfLife = 2 * time.Second
-	// faultyRatio is the share of a server's calls, as estimated from this entry's, whose failure makes the server faulty.
-	faultyRatio = 0.12
+	// faultyRatio is the share of a server's calls, as estimated from this entry's, whose failure makes the server faulty. It is
+	// manyCallsRatio of the calls above fewCalls, where a single fault means little.
+	faultyRatio    = 0.12
+	manyCallsRatio = 0.3
+	fewCalls       = 8
 	// A server counts as faulty for a random time between minFaultyTime and maxFaultyTime after its last fault.
 	minFaultyTime = 2 * time.Second
 	maxFaultyTime = 12 * time.Second
 	// maxFaultyShare is the share of a service's servers above which faulty are ignored.
 	maxFaultyShare = 0.7
 	// stalledLatencies is the number of median latencies after which a call counts as a fault.
-	stalledLatencies = 2.5
+	stalledLatencies = 3
 	// maxFaultyServers is the number of servers with new faults above which this entry's own network is the likely cause.
 	maxFaultyServers = 8
 	// settleTime is how long after its start an entry takes no part in fault reports. When everything has restarted, calls of before still
@@ -99,7 +102,7 @@
 	}
 	s.faults.add(float64(n), now)
 	wasFaulty, calls := s.isFaulty(now), g.callsPerServer(now)
-	if !wasFaulty && s.faults.value(now) < faultyRatio*calls {
+	if !wasFaulty && s.faults.value(now) < faultyRatio*min(calls, fewCalls)+manyCallsRatio*max(calls-fewCalls, 0) {
 		return
 	}
 	d := minFaultyTime + rand.N(maxFaultyTime-minFaultyTime)
@@ -113,7 +116,7 @@
 
 // isStalled reports whether an attempt takes much longer than usual for the service.
 func (g *group) isStalled(c *Choice, age time.Duration) bool {
-	return g.medianLatency > 0 && float64(age) > stalledLatencies*g.medianLatency*max(c.slowdown, 1)
+	return g.medianLatency > 0 && float64(age) > stalledLatencies*g.medianLatency*c.slowdown
 }
 
 // recordFault counts an attempt as a fault of its server, once.
--- a/peridot-entry/picker/group.go
+++ b/peridot-entry/picker/group.go
@@ -377,7 +377,7 @@
 	s := c.server
 	s.recordResult(r, now)
 	if r.Err == nil && !r.Shed && !r.Canceled && !isFailure(r) {
-		g.recent[g.recentCount%recentLatencies] = float64(r.Latency) / max(c.slowdown, 1)
+		g.recent[g.recentCount%recentLatencies] = float64(r.Latency) / c.slowdown
 		g.recentCount++
 	}
 	if !r.Shed && isFailure(r) || g.isStalled(c, r.Latency) {
--- a/peridot-entry/picker/picker.go
+++ b/peridot-entry/picker/picker.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Choice{Server: s.announced, group: g, server: s, begin: now, slowdown: g.currentSlowdown(s, now), now: p.cfg.Now}
+	c := &Choice{Server: s.announced, group: g, server: s, begin: now, slowdown: g.expectedSlowdown(s, now), now: p.cfg.Now}
 	s.add(c)
 	g.calls.add(1, now)
 	return c, nil
@@ -256,7 +256,7 @@
 	group  *group
 	server *server
 	begin  time.Time
-	// slowdown is the server's slowdown when it was picked.
+	// slowdown is how many times longer than usual the attempt was expected to take when the server was picked.
 	slowdown float64
 	// counted is set once the attempt has counted as a fault of the server.
 	counted bool
