--- a/peridot-entry/picker/faults.go
+++ b/peridot-entry/picker/faults.go
@@ -35,7 +35,7 @@
 	// A server counts as faulty for a random time between minFaultyTime and maxFaultyTime after its last fault.
 	minFaultyTime = 2 * time.Second
 	maxFaultyTime = 12 * time.Second
-	// maxFaultyShare is the share of a service's servers above which faulty are ignored.
+	// maxFaultyShare is the share of a service's servers that are avoided at most.
 	maxFaultyShare = 0.7
 	// stalledLatencies is the number of median latencies after which a call counts as a fault.
 	stalledLatencies = 3
--- a/peridot-entry/picker/group.go
+++ b/peridot-entry/picker/group.go
@@ -73,7 +73,7 @@
 	// leastUrgent is the least urgent rank among the calls that use the service, as of leastUrgentAt.
 	leastUrgent   int
 	leastUrgentAt time.Time
-	// recent holds the latest latencies of responses, divided by the server's slowdown, in a ring; recentCount counts all of them.
+	// recent holds the latest latencies of responses, divided by the expected slowdown, in a ring; recentCount counts all of them.
 	recent      [recentLatencies]float64
 	recentCount int
 	// calls is the decayed number of this entry's calls.
--- a/peridot-entry/supervisor/operators.go
+++ b/peridot-entry/supervisor/operators.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"peridotswitch.example/common/delivererpb"
 	"peridotswitch.example/common/informerpb"
 	"peridotswitch.example/peridot-entry/follower"
 	"peridotswitch.example/peridot-entry/informer"
@@ -62,6 +63,7 @@
 func (s *Supervisor) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(follower.Prefix, s.follower.Handler())
+	mux.Handle(delivererpb.GreeterPathPrefix, delivererpb.NewGreeterServer(greeted{s.follower}))
 	mux.Handle(informerpb.InformerPathPrefix, s.informer.Handler())
 	mux.Handle(spreaderpb.SpreaderPathPrefix, spreaderpb.NewSpreaderServer(s.spreader))
 	return mux
