Call log: the fingerprint of a request whose connection was lost

Attempts that lose their connection after bytes were written now carry the fingerprint; grep over all entries gives each server that lost it. The prover's spec for the call log expects it: it fails without the change.

--- a/peridot-entry/dispatcher/attempt.go
+++ b/peridot-entry/dispatcher/attempt.go
@@ -11,6 +11,7 @@
 
 	"peridotswitch.example/peridot-entry/limiter"
 	"peridotswitch.example/peridot-entry/picker"
+	"peridotswitch.example/peridot-entry/quarantiner"
 	"peridotswitch.example/peridot-entry/registrar"
 	"peridotswitch.example/peridot-entry/sender"
 	"peridotswitch.example/peridot-entry/tracer"
@@ -40,7 +41,7 @@
 		if errors.As(err, &se) {
 			a.setTiming(se.Timing)
 		}
-		a.fail(ctx, err, picker.Result{}, s)
+		a.fail(ctx, req, err, picker.Result{}, s)
 		return
 	}
 	a.setTiming(res.Timing)
@@ -53,7 +54,7 @@
 	}
 	result := picker.Result{Status: res.Status, Shed: res.Shed && !res.WrongServer, Draining: res.Draining, Unreachable: res.WrongServer, Load: res.Load}
 	if err != nil {
-		a.fail(ctx, err, result, s)
+		a.fail(ctx, req, err, result, s)
 		return
 	}
 	a.latency = time.Since(a.begin)
@@ -72,12 +73,15 @@
 }
 
 // fail ends an attempt that got no usable response. The permit is kept for the next attempt.
-func (a *attempt) fail(ctx context.Context, err error, r picker.Result, s *serviceState) {
+func (a *attempt) fail(ctx context.Context, req *sender.Request, err error, r picker.Result, s *serviceState) {
 	a.err = err
 	a.trace.Result = err.Error()
 	r.Err, r.Latency = err, time.Since(a.begin)
 	var se *sender.Error
-	r.Unreachable = r.Unreachable || errors.As(err, &se) && se.Phase == sender.Connecting && se.Unreachable
+	if errors.As(err, &se) && se.IsConnectionLost() {
+		a.trace.Fingerprint = quarantiner.Fingerprint(req)
+	}
+	r.Unreachable = r.Unreachable || se != nil && se.Phase == sender.Connecting && se.Unreachable
 	// A timeout before the 95th percentile of the latency is no evidence against the server, so that it counts as a cancellation.
 	p95, _ := s.latency.value()
 	r.Canceled = errors.Is(ctx.Err(), context.Canceled) || ctx.Err() != nil && r.Latency < p95 || isContained(err)
--- a/peridot-entry/quarantiner/crash.go
+++ b/peridot-entry/quarantiner/crash.go
@@ -3,11 +3,8 @@
 import (
 	"io"
 	"slices"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"peridotswitch.example/peridot-entry/sender"
 )
 
@@ -21,19 +18,6 @@
 	done chan struct{}
 }
 
-// isConnectionLost reports whether the backend server closed or reset the connection after some of the request had been written.
-func isConnectionLost(se *sender.Error) bool {
-	if !se.Written {
-		return false
-	}
-	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
-		if errors.Is(se.Err, cause) {
-			return true
-		}
-	}
-	return false
-}
-
 // checkCrash checks whether the backend server crashed. The first call for an incarnation dials the server and records all
 // requests in flight there; concurrent calls wait for its result. When it returns, the crash has been shared with the other entries.
 func (q *Quarantiner) checkCrash(req *sender.Request) (crashed bool) {
@@ -83,7 +67,7 @@
 	if p.confirmed {
 		return
 	}
-	p.requests = slices.DeleteFunc(p.requests, func(r *sender.Request) bool { return fingerprintOf(r) == fingerprint })
+	p.requests = slices.DeleteFunc(p.requests, func(r *sender.Request) bool { return Fingerprint(r) == fingerprint })
 }
 
 func (q *Quarantiner) confirmCrash(inc serverIncarnation, p *possibleCrash) {
--- a/peridot-entry/quarantiner/quarantiner.go
+++ b/peridot-entry/quarantiner/quarantiner.go
@@ -192,7 +192,7 @@
 	if !hasSuspects {
 		return false, nil
 	}
-	fingerprint := fingerprintOf(req)
+	fingerprint := Fingerprint(req)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s := q.suspects[fingerprint]
@@ -229,8 +229,8 @@
 // so that a retry is already sent as a suspect's.
 func (q *Quarantiner) handleError(req *sender.Request, err error) {
 	var se *sender.Error
-	if errors.As(err, &se) && isConnectionLost(se) && q.checkCrash(req) {
-		se.Err = errors.WithMessagef(se.Err, "backend server %s crashed, the request's fingerprint is %s", req.Server.InstanceID, fingerprintOf(req))
+	if errors.As(err, &se) && se.IsConnectionLost() && q.checkCrash(req) {
+		se.Err = errors.WithMessagef(se.Err, "backend server %s crashed, the request's fingerprint is %s", req.Server.InstanceID, Fingerprint(req))
 	}
 	q.removeInFlight(req)
 }
@@ -244,7 +244,7 @@
 	if !hasSuspects {
 		return
 	}
-	fingerprint := fingerprintOf(req)
+	fingerprint := Fingerprint(req)
 	q.mu.Lock()
 	for _, p := range q.possibleCrashes {
 		p.removeAnswered(fingerprint)
--- a/peridot-entry/quarantiner/serialize.go
+++ b/peridot-entry/quarantiner/serialize.go
@@ -50,7 +50,7 @@
 // that no two suspects run at once, not even at different backend servers: if both of these crashed, nothing would tell the two apart.
 // The delay shrinks when a suspect that sorts before this one is cleared.
 func (q *Quarantiner) stagger(ctx context.Context, req *sender.Request) error {
-	fingerprint := fingerprintOf(req)
+	fingerprint := Fingerprint(req)
 	began := q.cfg.Now()
 	for {
 		left := time.Duration(q.countBefore(fingerprint))*staggerInterval - q.cfg.Now().Sub(began)
--- a/peridot-entry/quarantiner/suspect.go
+++ b/peridot-entry/quarantiner/suspect.go
@@ -29,8 +29,8 @@
 
 const fingerprintBytes = 8
 
-// fingerprintOf returns a hash of service, method, path and body: requests with the same hash have the same effect on a backend server.
-func fingerprintOf(req *sender.Request) string {
+// Fingerprint returns a hash of service, method, path and body; requests with the same hash have the same effect on a backend server.
+func Fingerprint(req *sender.Request) string {
 	h := sha256.New()
 	for _, s := range []string{req.Server.Service, req.Method, req.Path} {
 		h.Write([]byte(s))
@@ -100,7 +100,7 @@
 	var changed []*suspect
 	var fingerprints []string
 	for _, req := range requests {
-		fingerprint := fingerprintOf(req)
+		fingerprint := Fingerprint(req)
 		q.mu.Lock()
 		s := q.getOrAddSuspect(fingerprint, req.Server.Service, req.Method, req.Path)
 		if s != nil && at.After(s.cleared) {
--- a/peridot-entry/sender/sender.go
+++ b/peridot-entry/sender/sender.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -111,6 +112,19 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// IsConnectionLost reports whether the backend server closed or reset the connection after some of the call had been written.
+func (e *Error) IsConnectionLost() bool {
+	if !e.Written {
+		return false
+	}
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(e.Err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // Config configures a Sender. The zero value is valid.
 type Config struct {
 	DialTimeout time.Duration
--- a/peridot-entry/supervisor/calllog.go
+++ b/peridot-entry/supervisor/calllog.go
@@ -57,7 +57,11 @@
 func (list attempts) MarshalZerologArray(a *zerolog.Array) {
 	for i := range list {
 		at := &list[i]
-		a.Dict(zerolog.Dict().Str("server", at.Server).Dur("start-ms", at.Start).Dur("connect-ms", at.Connect).Dur("wait-ms", at.Wait).
-			Dur("read-ms", at.Read).Str("result", at.Result))
+		d := zerolog.Dict().Str("server", at.Server).Dur("start-ms", at.Start).Dur("connect-ms", at.Connect).Dur("wait-ms", at.Wait).
+			Dur("read-ms", at.Read).Str("result", at.Result)
+		if at.Fingerprint != "" {
+			d = d.Str("fingerprint", at.Fingerprint)
+		}
+		a.Dict(d)
 	}
 }
--- a/peridot-entry/tracer/trace.go
+++ b/peridot-entry/tracer/trace.go
@@ -20,7 +20,9 @@
 	Wait    time.Duration `json:"wait-ns"`
 	Read    time.Duration `json:"read-ns"`
 	Result  string        `json:"result"`
-	Hedge   bool          `json:"hedge,omitempty"`
+	// Fingerprint identifies the request if its connection was lost, as by a crash of the backend server.
+	Fingerprint string `json:"fingerprint,omitempty"`
+	Hedge       bool   `json:"hedge,omitempty"`
 }
 
 // Trace records how the time of one call was spent.
--- a/prover/platform_test.go
+++ b/prover/platform_test.go
@@ -53,7 +53,7 @@
 		b.slow.Store(false)
 		for id, substrings := range map[string][]string{
 			"full": {`"outcome":"not-run"`, `"status":503`, `"server":"i-`, "the backend server shed the call", `"cause":"servers-shed"`},
-			"lost": {`"outcome":"unknown"`, `"status":502`, `"server":"i-`, "EOF"},
+			"lost": {`"outcome":"unknown"`, `"status":502`, `"server":"i-`, "EOF", `"fingerprint":"`},
 			"late": {`"outcome":"ran"`, `"status":200`, `"missed-objective":true`, `"wait-ms":`},
 		} {
 			Eventually(func() string { return logLine(f.entries[0], id) }, "2s", "20ms").ShouldNot(BeEmpty(), id)
