--- a/prover/platform_fleet_test.go
+++ b/prover/platform_fleet_test.go
@@ -24,7 +24,10 @@
 	dir     string
 	control []*platformProcess
 	entries []*platformProcess
+	mu      sync.Mutex
 	servers []*platformServer
+	// ended is set at the end of the spec, after which no server starts.
+	ended bool
 }
 
 type platformProcess struct {
@@ -54,6 +57,7 @@
 
 func newPlatformFleet(members, entries int) *platformFleet {
 	f := &platformFleet{dir: tempDir()}
+	deferCleanup(f.stopServers)
 	for range members {
 		f.control = append(f.control, &platformProcess{ip: newIP()})
 	}
@@ -164,6 +168,7 @@
 // platformServer is a simulated backend server that counts how often it executed each call.
 type platformServer struct {
 	id, address string
+	listener    net.Listener
 	startedMs   int64
 	seq         atomic.Int64
 	serviceTime time.Duration
@@ -174,20 +179,77 @@
 	dropResponse, full atomic.Bool
 	// slow makes calls take longer than the service's objective latency.
 	slow atomic.Bool
+	// crash ends the server when it runs a call to the path crashPath; nil for a server that doesn't crash.
+	crashPath string
+	crash     func()
+	stop      func()
 }
 
+var lastServer atomic.Int32
+
 func (f *platformFleet) addServer(serviceTime time.Duration) *platformServer {
-	l, err := net.Listen("tcp", loopback+":0")
-	Expect(err).NotTo(HaveOccurred())
-	s := &platformServer{id: fmt.Sprintf("i-%d", len(f.servers)), address: l.Addr().String(), startedMs: time.Now().UnixMilli(), serviceTime: serviceTime, runCounts: make(map[string]int)}
+	s := f.newServer(loopback+":0", serviceTime)
+	f.start(s)
+	return s
+}
+
+// addCrashingServer adds a server that crashes when it runs a call to path, and starts again with another id after a time.
+func (f *platformFleet) addCrashingServer(path string, down time.Duration, onCrash func()) {
+	f.startCrashing(f.newServer(loopback+":0", 20*time.Millisecond), path, down, onCrash)
+}
+
+func (f *platformFleet) startCrashing(s *platformServer, path string, down time.Duration, onCrash func()) {
+	s.crashPath = path
+	s.crash = sync.OnceFunc(func() {
+		onCrash()
+		s.stop()
+		time.AfterFunc(down, func() {
+			defer GinkgoRecover()
+			f.startCrashing(f.newServer(s.address, s.serviceTime), path, down, onCrash)
+		})
+	})
+	f.start(s)
+}
+
+// newServer returns a server that listens at address and is not yet announced.
+func (f *platformFleet) newServer(address string, serviceTime time.Duration) *platformServer {
+	var l net.Listener
+	Eventually(func() (err error) {
+		l, err = net.Listen("tcp", address)
+		return err
+	}, "5s", "50ms").Should(Succeed())
+	return &platformServer{
+		id: fmt.Sprintf("i-%d", lastServer.Add(1)), address: l.Addr().String(), listener: l, startedMs: time.Now().UnixMilli(),
+		serviceTime: serviceTime, runCounts: make(map[string]int),
+	}
+}
+
+// stopServers stops all servers, and those that are about to start again.
+func (f *platformFleet) stopServers() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = true
+	for _, s := range f.servers {
+		s.stop()
+	}
+}
+
+// start serves and announces a server until it crashes or the spec ends.
+func (f *platformFleet) start(s *platformServer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	srv := &http.Server{Handler: s}
-	go func() { _ = srv.Serve(l) }()
 	ctx, cancel := context.WithCancel(context.Background())
-	deferCleanup(func() {
+	s.stop = func() {
 		cancel()
 		_ = srv.Close()
-	})
+	}
+	if f.ended {
+		_ = s.listener.Close()
+		return
+	}
 	f.servers = append(f.servers, s)
+	go func() { _ = srv.Serve(s.listener) }()
 	go func() {
 		for ctx.Err() == nil {
 			if s.seq.Load() >= 0 {
@@ -199,7 +261,6 @@
 			}
 		}
 	}()
-	return s
 }
 
 // sendHeartbeat sends a heartbeat to the members in turn until one accepts it.
@@ -238,6 +299,10 @@
 	s.lastRun = time.Now()
 	s.mu.Unlock()
 	time.Sleep(s.serviceTime)
+	if s.crash != nil && req.URL.Path == s.crashPath {
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
 	if s.slow.Load() {
 		time.Sleep(400 * time.Millisecond)
 	}
@@ -257,6 +322,8 @@
 
 // runs returns how often all servers together executed a call.
 func (f *platformFleet) runs(id string) (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, s := range f.servers {
 		n += s.runs(id)
 	}
