Requests that crash servers are refused at every entry of the platform

Cause: entries there are assembled by supervisor.NewRouted, which sent calls without a quarantiner; the existing one counts crashes over entries by exchanging state between them, which these entries don't do. Class: a protection that belongs to one way of assembling a program and is missing from the other.

Evidence: the fingerprint of the crashing request stands in the logs of all three entries, 166 times, with no refusal.

Change: entries report their suspects to control; the leader counts distinct crashed incarnations for each fingerprint and commits the request to a replicated list at the second; watch replies bring the list to every entry, which refuses the request before it waits or probes. The list survives the loss of all of control and restarts of entries. The fingerprint names the host instead of the service for calls by host, since a split route may choose another service for the same request, and the caller by Authorization, the only part of it that servers get.

--- a/peridot-control/arbiter/arbiter.go
+++ b/peridot-control/arbiter/arbiter.go
@@ -34,6 +34,8 @@
 	Routing *Routing `json:"routing,omitempty"`
 	// Servers are announcements of backend servers that change the table.
 	Servers []Server `json:"servers,omitempty"`
+	// Quarantine changes the list of contained requests.
+	Quarantine *QuarantineChange `json:"quarantine,omitempty"`
 }
 
 // Routing is a routing document with its number; the document with the highest number is in force.
@@ -103,6 +105,7 @@
 	Results         []resultByChange `json:"verdicts"`
 	Registered      map[string]bool  `json:"registered"`
 	Servers         Table            `json:"servers"`
+	Quarantine      Quarantine       `json:"quarantine"`
 }
 
 // resultByChange is the result of a change with the change's id.
@@ -176,6 +179,9 @@
 		a.applyRouting(cmd.Routing)
 	}
 	a.st.Servers.apply(cmd.Servers)
+	if cmd.Quarantine != nil {
+		a.st.Quarantine.apply(cmd.Quarantine)
+	}
 	if cmd.Change == nil {
 		return ChangeResult{}
 	}
@@ -208,6 +214,9 @@
 // Servers returns the table of backend servers; the caller must not change it.
 func (a *Arbiter) Servers() *Table { return &a.st.Servers }
 
+// Quarantine returns the contained requests; the caller must not change them.
+func (a *Arbiter) Quarantine() Quarantine { return a.st.Quarantine }
+
 func (a *Arbiter) storeResult(id string, r ChangeResult) {
 	if len(r.Refusal) > maxRefusalBytes {
 		r.Refusal = r.Refusal[:maxRefusalBytes]
--- a/peridot-control/deliverer/batch_test.go
+++ b/peridot-control/deliverer/batch_test.go
@@ -28,10 +28,10 @@
 	v.changed = make(chan struct{})
 }
 
-func (v *versions) changedSince(revision, servers uint64) <-chan struct{} {
+func (v *versions) changedSince(held Versions) <-chan struct{} {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.revision > revision || v.servers > servers {
+	if v.revision > held.Revision || v.servers > held.Servers {
 		return closedChannel
 	}
 	return v.changed
@@ -98,7 +98,7 @@
 				if replies > test.replies || replies == 0 {
 					t.Errorf("%d replies, want 1 to %d", replies, test.replies)
 				}
-				if <-d.cfg.Changed(0, math.MaxUint64); d.hasUpdate(req) {
+				if <-d.cfg.Changed(Versions{0, math.MaxUint64, math.MaxUint64}); d.hasUpdate(req) {
 					t.Error("the entry lacks a change")
 				}
 			})
--- a/peridot-control/deliverer/deliverer.go
+++ b/peridot-control/deliverer/deliverer.go
@@ -5,6 +5,7 @@
 	"context"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -13,6 +14,7 @@
 	"peridotswitch.example/common/delivererpb"
 	"peridotswitch.example/common/parser"
 	"peridotswitch.example/peridot-control/arbiter"
+	"peridotswitch.example/peridot-control/quarantiner"
 )
 
 // Config configures a Deliverer. Every function is required.
@@ -20,9 +22,8 @@
 	Now func() time.Time
 	// Current returns the newest configuration that is applied here.
 	Current func() arbiter.Configuration
-	// Changed returns a channel that is closed once the configuration or the table of backend servers is newer than the given
-	// versions.
-	Changed func(revision, servers uint64) <-chan struct{}
+	// Changed returns a channel that is closed once something is newer than the given versions.
+	Changed func(Versions) <-chan struct{}
 	// IsListed reports whether the current inventory lists an entry, IsRegistered whether that entry may have been sent documents.
 	IsListed     func(instanceID string) bool
 	IsRegistered func(instanceID string) bool
@@ -47,6 +48,8 @@
 	// Servers returns the backend servers that have changed since version, whether these are the full table, and the table's
 	// current version.
 	Servers func(version uint64) (changed []arbiter.Server, full bool, now uint64)
+	// Quarantine returns the requests that entries refuse.
+	Quarantine func() arbiter.Quarantine
 	// NeedsUpdate reports whether an announcement would change the table of backend servers.
 	NeedsUpdate func(*arbiter.Server) bool
 	// RoutingAt returns the routing document that was in force at a revision and the revision that introduced it, or 0 if the document
@@ -63,6 +66,16 @@
 	Log          zerolog.Logger
 }
 
+// Versions are the versions of the state that entries follow.
+type Versions struct {
+	Revision, Servers, Quarantine uint64
+}
+
+// heldVersions returns the versions that an entry holds.
+func heldVersions(req *delivererpb.WatchRequest) Versions {
+	return Versions{req.Revision, req.ServersVersion, req.ContainedVersion}
+}
+
 // Status is the state of the replicated log as the operator API reports it.
 type Status struct {
 	Term    uint64
@@ -125,6 +138,10 @@
 	compressedServers compressedServers
 	compressedList    compressedList
 	faults            *faultLog
+	suspects          suspectQueue
+	quarantiner       *quarantiner.Quarantiner
+	// releasing is set while a command that releases requests is in progress.
+	releasing atomic.Bool
 }
 
 type queuedEntry struct {
@@ -140,6 +157,7 @@
 		cfg: cfg, startedAt: cfg.Now(), table: newTable(cfg.Now, cfg.EntryLease), cancel: cancel,
 		pending: make(map[string]*delivererpb.EntryMember), lastQueued: make(map[string]queuedEntry), renewSignal: make(chan struct{}, 1),
 		confirmedChanged: make(chan struct{}), clients: make(map[string]*leaderClient), faults: newFaultLog(),
+		quarantiner: quarantiner.New(quarantiner.Config{Now: cfg.Now}),
 	}
 	d.wg.Go(func() { d.renewLoop(ctx) })
 	return d
@@ -159,6 +177,9 @@
 	}
 	d.queueRenewal(req)
 	d.faults.add(req.Faults)
+	if d.suspects.add(req.Suspects) {
+		d.triggerRenewal()
+	}
 	if req.Revision == 0 || !d.isIsolated() {
 		d.waitForUpdate(ctx, req)
 	}
@@ -197,6 +218,7 @@
 	faults, faultsVersion := d.faults.since(listVersion(req.FaultsVersion), d.cfg.Now())
 	reply.Faults, reply.FaultsVersion = faults, uint64(faultsVersion)
 	d.addServers(reply, req.ServersVersion)
+	d.addContained(reply, req.ContainedVersion)
 	if cur.Revision <= req.Revision {
 		return reply
 	}
@@ -226,7 +248,7 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
-	case <-d.cfg.Changed(req.Revision, req.ServersVersion):
+	case <-d.cfg.Changed(heldVersions(req)):
 		d.collectChanges(ctx, timer.C, req)
 	case <-listOutdated:
 		d.collectChanges(ctx, timer.C, req)
@@ -249,7 +271,7 @@
 			return
 		case <-end.C:
 			return
-		case <-d.cfg.Changed(req.Revision, math.MaxUint64):
+		case <-d.cfg.Changed(Versions{req.Revision, math.MaxUint64, math.MaxUint64}):
 		}
 	}
 }
@@ -263,7 +285,7 @@
 // hasUpdate reports whether this member holds a newer revision or table of backend servers than the entry.
 func (d *Deliverer) hasUpdate(req *delivererpb.WatchRequest) bool {
 	select {
-	case <-d.cfg.Changed(req.Revision, req.ServersVersion):
+	case <-d.cfg.Changed(heldVersions(req)):
 		return true
 	default:
 		return false
--- a/peridot-control/deliverer/renewer.go
+++ b/peridot-control/deliverer/renewer.go
@@ -128,6 +128,7 @@
 	}
 	if self {
 		d.expireServers()
+		d.releaseExpired()
 	}
 	if address == "" {
 		return errNoLeader
@@ -136,12 +137,13 @@
 	batch := d.pending
 	d.pending = make(map[string]*delivererpb.EntryMember)
 	d.mu.Unlock()
-	req := &delivererpb.RenewRequest{Faults: d.faults.takePending(), RenewedServers: d.serverLeases.takePending()}
+	req := &delivererpb.RenewRequest{Faults: d.faults.takePending(), RenewedServers: d.serverLeases.takePending(), Suspects: d.suspects.take()}
 	for _, m := range batch {
 		req.Entries = append(req.Entries, m)
 	}
 	if err := d.sendRenewal(ctx, address, self, req); err != nil {
 		d.serverLeases.requeue(req.RenewedServers)
+		d.suspects.requeue(req.Suspects)
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		for id, m := range batch {
@@ -186,6 +188,9 @@
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
 	d.serverLeases.renew(req.RenewedServers, d.cfg.Now())
+	if err = d.recordSuspects(ctx, req.Suspects); err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
 	d.faults.publish(req.Faults, d.cfg.Now())
 	faults, faultsVersion := d.faults.since(listVersion(req.FaultsVersion), d.cfg.Now())
 	reply := &delivererpb.RenewReply{Commit: commit, EntriesVersion: uint64(d.table.currentVersion()), Faults: faults, FaultsVersion: uint64(faultsVersion), RenewsServers: true}
--- a/peridot-control/supervisor/state.go
+++ b/peridot-control/supervisor/state.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"peridotswitch.example/peridot-control/arbiter"
+	"peridotswitch.example/peridot-control/deliverer"
 )
 
 // store is the state machine to which committed log entries are applied; it is safe for concurrent use.
@@ -16,7 +17,7 @@
 	arbiter *arbiter.Arbiter
 	// listed is the set of entries in the current inventory.
 	listed map[string]bool
-	// changed is closed and replaced when the configuration or the table of backend servers changes.
+	// changed is closed and replaced when the configuration, the table of backend servers or the list of contained requests changes.
 	changed chan struct{}
 	// routings are the most recent routing documents in the order in which they came into force, without gaps.
 	routings []routingVersion
@@ -43,13 +44,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before, tableVersion := s.arbiter.Current().Revision, s.arbiter.Servers().Version
+	before, tableVersion, quarantineVersion := s.arbiter.Current().Revision, s.arbiter.Servers().Version, s.arbiter.Quarantine().Version
 	result := s.arbiter.Apply(cmd)
 	s.recordRouting()
 	switch {
 	case s.arbiter.Current().Revision != before:
 		s.refreshListed()
-	case s.arbiter.Servers().Version != tableVersion:
+	case s.arbiter.Servers().Version != tableVersion || s.arbiter.Quarantine().Version != quarantineVersion:
 		s.notifyWaiters()
 	}
 	return result
@@ -138,6 +139,13 @@
 	return s.arbiter.Servers().NeedsUpdate(server)
 }
 
+// quarantine returns the contained requests.
+func (s *store) quarantine() arbiter.Quarantine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arbiter.Quarantine()
+}
+
 // recordRouting appends the routing document in force to routings if it is new; the caller holds mu.
 func (s *store) recordRouting() {
 	cur := s.arbiter.Current()
@@ -163,12 +171,11 @@
 	return nil, 0
 }
 
-// changedSince returns a channel that is closed once the configuration or the table of backend servers is newer than the given
-// versions.
-func (s *store) changedSince(revision, servers uint64) <-chan struct{} {
+// changedSince returns a channel that is closed once something is newer than the given versions.
+func (s *store) changedSince(v deliverer.Versions) <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.arbiter.Current().Revision > revision || s.arbiter.Servers().Version > servers {
+	if s.arbiter.Current().Revision > v.Revision || s.arbiter.Servers().Version > v.Servers || s.arbiter.Quarantine().Version > v.Quarantine {
 		closed := make(chan struct{})
 		close(closed)
 		return closed
--- a/peridot-control/supervisor/supervisor.go
+++ b/peridot-control/supervisor/supervisor.go
@@ -228,6 +228,7 @@
 
 		Servers:         s.store.servers,
 		NeedsUpdate:     s.store.needsUpdate,
+		Quarantine:      s.store.quarantine,
 		RoutingAt:       s.store.routingAt,
 		QuorumReadIndex: s.replicator.QuorumReadIndex,
 		EntryLease:      s.cfg.EntryLease,
--- a/peridot-entry/accountant/meter.go
+++ b/peridot-entry/accountant/meter.go
@@ -17,8 +17,9 @@
 	// probes are counters by service and result, refusals by service and cause.
 	probes   map[labelValues]tally.Counter
 	refusals map[labelValues]tally.Counter
-	// faulty are counters by service.
-	faulty map[string]tally.Counter
+	// faulty and crashes are counters by service.
+	faulty  map[string]tally.Counter
+	crashes map[string]tally.Counter
 }
 
 // labelValues are the service label and the value of the other label of a metric: outcome, result or cause.
@@ -43,6 +44,7 @@
 	return &Meter{
 		scope: scope, calls: make(map[labelValues]*callMetrics), probes: make(map[labelValues]tally.Counter),
 		refusals: make(map[labelValues]tally.Counter), faulty: make(map[string]tally.Counter),
+		crashes: make(map[string]tally.Counter),
 	}
 }
 
@@ -70,13 +72,19 @@
 }
 
 // RecordFaulty counts a backend server that has become faulty.
-func (m *Meter) RecordFaulty(service string) {
+func (m *Meter) RecordFaulty(service string) { m.countServer(m.faulty, "faulty_servers", service) }
+
+// RecordCrash counts a backend server that crashed with calls of this entry in flight.
+func (m *Meter) RecordCrash(service string) { m.countServer(m.crashes, "server_crashes", service) }
+
+// countServer increments the counter of a service and creates it if needed.
+func (m *Meter) countServer(counters map[string]tally.Counter, name, service string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := m.faulty[service]
+	c := counters[service]
 	if c == nil {
-		c = m.scope.Tagged(map[string]string{"service": service}).Counter("faulty_servers")
-		m.faulty[service] = c
+		c = m.scope.Tagged(map[string]string{"service": service}).Counter(name)
+		counters[service] = c
 	}
 	c.Inc(1)
 }
--- a/peridot-entry/dispatcher/dispatcher.go
+++ b/peridot-entry/dispatcher/dispatcher.go
@@ -22,6 +22,8 @@
 	// reports at hand.
 	Probe func(context.Context, picker.Request) []registrar.Key
 	Pick  func(picker.Request) (*picker.Choice, error)
+	// Admit returns an error for a call that is refused before it waits for anything; nil to admit all.
+	Admit func(*Call) error
 	Send  func(context.Context, *sender.Request) (*sender.Response, error)
 	// SetHeaders sets the request headers that describe an attempt to the backend server; SetPeridotHeaders when nil.
 	SetHeaders func(h http.Header, info AttemptInfo)
@@ -80,6 +82,11 @@
 		results: make(chan *attempt, resultsCapacity),
 		outcome: NotRun,
 	}
+	if d.cfg.Admit != nil {
+		if err := d.cfg.Admit(c); err != nil {
+			return nil, x.fail(ctx, err)
+		}
+	}
 	x.service.budget.deposit(c.Rule.RetryShare, c.Rule.HedgeShare, d.cfg.BudgetBurst())
 	return x.run(ctx)
 }
--- a/peridot-entry/dispatcher/dispatcher_test.go
+++ b/peridot-entry/dispatcher/dispatcher_test.go
@@ -17,6 +17,7 @@
 	"peridotswitch.example/common/parser"
 	"peridotswitch.example/peridot-entry/limiter"
 	"peridotswitch.example/peridot-entry/picker"
+	"peridotswitch.example/peridot-entry/quarantiner"
 	"peridotswitch.example/peridot-entry/registrar"
 	"peridotswitch.example/peridot-entry/sender"
 	"peridotswitch.example/peridot-entry/tracer"
@@ -441,3 +442,18 @@
 		})
 	}
 }
+
+// A call that is known to crash its servers must not wait for a permit or cost a probe, and its refusal must say when it ends.
+func TestRefusedCallIsNotAdmitted(t *testing.T) {
+	d, sent, _ := newTestDispatcher(respond(200))
+	d.cfg.Acquire = func(context.Context, limiter.Request) (*limiter.Permit, error) {
+		t.Error("a permit was acquired")
+		return nil, picker.ErrFull
+	}
+	d.cfg.Admit = func(*Call) error { return &quarantiner.Error{RetryAfter: 30 * time.Second} }
+	_, err := d.Do(context.Background(), newCall(parser.Idempotent))
+	var e *Error
+	if !errors.As(err, &e) || e.Outcome != NotRun || e.RetryAfter != 30*time.Second || sent.Load() != 0 {
+		t.Errorf("error is %+v after %d attempts, want a refusal for 30 s", err, sent.Load())
+	}
+}
--- a/peridot-entry/dispatcher/failure.go
+++ b/peridot-entry/dispatcher/failure.go
@@ -81,9 +81,10 @@
 		x.call.Trace.Cause = refusalCause(ctx, err)
 	}
 	var shed *limiter.ShedError
+	var contained *quarantiner.Error
 	switch {
-	case isContained(err):
-		e.Status = http.StatusUnprocessableEntity
+	case errors.As(err, &contained):
+		e.Status, e.RetryAfter = http.StatusUnprocessableEntity, contained.RetryAfter
 	case errors.As(err, &shed):
 		e.Status, e.RetryAfter = http.StatusServiceUnavailable, shed.RetryAfter
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/peridot-entry/follower/control.go
+++ b/peridot-entry/follower/control.go
@@ -222,7 +222,7 @@
 	f := w.f
 	req := f.cfg.NewWatchRequest()
 	req.EntriesVersion, req.ControlVersion, req.AcceptsDeltas = w.entries.version, w.controlVersion, true
-	req.ServersVersion, req.FaultsVersion = f.serversVersion, w.faultsVersion
+	req.ServersVersion, req.FaultsVersion, req.ContainedVersion = f.serversVersion, w.faultsVersion, f.containedVersion
 	if cur := f.Current(); cur != nil {
 		req.Revision = cur.Revision
 	}
@@ -249,6 +249,9 @@
 	if err != nil {
 		return err
 	}
+	if f.cfg.OnAnswered != nil {
+		f.cfg.OnAnswered()
+	}
 	return w.applyReply(reply, sent)
 }
 
@@ -274,6 +277,10 @@
 	if f.cfg.OnFaults != nil && len(reply.Faults) > 0 {
 		f.cfg.OnFaults(reply.Faults)
 	}
+	if f.cfg.OnContained != nil && reply.ContainedVersion > f.containedVersion {
+		f.cfg.OnContained(reply.Contained)
+		f.containedVersion = reply.ContainedVersion
+	}
 	if changed, err := w.entries.apply(reply); err != nil {
 		return err
 	} else if changed {
--- a/peridot-entry/follower/follower.go
+++ b/peridot-entry/follower/follower.go
@@ -35,6 +35,10 @@
 	OnServers func(changed []*delivererpb.BackendServer, full bool)
 	// OnFaults is called with the faults of backend servers that other entries have reported; nil for no call.
 	OnFaults func([]*delivererpb.FaultReport)
+	// OnContained is called with the whole list of the requests that all entries refuse, when it has changed; nil for no call.
+	OnContained func([]*delivererpb.Suspect)
+	// OnAnswered is called when control has answered the request that NewWatchRequest returned last; nil for no call.
+	OnAnswered func()
 	// Seeds returns further addresses of control members. It is called before each watch, as the list may change; nil for none.
 	Seeds func() []string
 	// ParseRouting parses routing documents; nil means parser.ParseRouting.
@@ -59,6 +63,8 @@
 	installMu      sync.Mutex
 	// serversVersion is the version of the backend server table held. Only the goroutine that watches uses it.
 	serversVersion uint64
+	// containedVersion is the version of the list of contained requests held. Only the goroutine that watches uses it.
+	containedVersion uint64
 	// learned holds the addresses of control members that Learn was given; learnedSignal interrupts the search for a member.
 	learnedMu     sync.Mutex
 	learned       []string
--- a/peridot-entry/quarantiner/crash.go
+++ b/peridot-entry/quarantiner/crash.go
@@ -19,7 +19,8 @@
 }
 
 // checkCrash checks whether the backend server crashed. The first call for an incarnation dials the server and records all
-// requests in flight there; concurrent calls wait for its result. When it returns, the crash has been shared with the other entries.
+// requests in flight there; concurrent calls wait for its result. When it returns, the crash has been shared with the other
+// entries, unless that takes longer than Config.MaxCheck.
 func (q *Quarantiner) checkCrash(req *sender.Request) (crashed bool) {
 	inc := serverIncarnation{req.Server, req.Incarnation}
 	q.mu.Lock()
@@ -27,7 +28,7 @@
 	if p != nil {
 		added := p.add(req)
 		q.mu.Unlock()
-		<-p.done
+		q.await(p)
 		q.mu.Lock()
 		confirmed := p.confirmed
 		q.mu.Unlock()
@@ -42,12 +43,30 @@
 	}
 	q.possibleCrashes[inc] = p
 	q.mu.Unlock()
-	defer close(p.done)
-	crashed = q.cfg.ConnectionRefused(req.Address)
-	if crashed {
-		q.confirmCrash(inc, p)
+	q.wg.Go(func() {
+		defer close(p.done)
+		if q.cfg.ConnectionRefused(req.Address) {
+			q.confirmCrash(inc, p)
+		}
+	})
+	q.await(p)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return p.confirmed
+}
+
+// await waits for the check of a possible crash.
+func (q *Quarantiner) await(p *possibleCrash) {
+	if q.cfg.MaxCheck <= 0 {
+		<-p.done
+		return
+	}
+	t := time.NewTimer(q.cfg.MaxCheck)
+	defer t.Stop()
+	select {
+	case <-p.done:
+	case <-t.C:
 	}
-	return crashed
 }
 
 // add adds req to the requests and reports whether it was missing. The caller holds Quarantiner.mu.
@@ -75,6 +94,9 @@
 	p.confirmed = true
 	requests := append([]*sender.Request(nil), p.requests...)
 	q.mu.Unlock()
+	if q.cfg.OnCrash != nil {
+		q.cfg.OnCrash(inc.key, inc.incarnation, len(requests))
+	}
 	q.recordCrash(inc, requests, p.detected)
 }
 
--- a/peridot-entry/quarantiner/quarantiner.go
+++ b/peridot-entry/quarantiner/quarantiner.go
@@ -13,7 +13,7 @@
 	"peridotswitch.example/peridot-entry/sender"
 )
 
-// Config configures a Quarantiner; all fields but Expiry are required.
+// Config configures a Quarantiner; fields are required unless they say otherwise.
 type Config struct {
 	Now  func() time.Time
 	Send func(context.Context, *sender.Request) (*sender.Response, error)
@@ -24,7 +24,16 @@
 	// Expiry is how long a crash counts, and how long a request is refused after its last crash; DefaultExpiry when zero.
 	Expiry time.Duration
 	// Share sends the suspects with these fingerprints, which have changed, to the other entries and waits briefly for their acknowledgement.
+	// It is nil for an entry that reports to control.
 	Share func(fingerprints []string)
+	// OnReport is called when there is something to report to control; nil for an entry that shares with the others.
+	OnReport func()
+	// Isolate makes suspects run one after the other at all entries, so that no harmless one is in flight in the next crash.
+	Isolate bool
+	// MaxCheck is how long a failed request waits for the check whether its backend server crashed; 0 for no limit.
+	MaxCheck time.Duration
+	// OnCrash is called for each crash with the number of this entry's requests in flight there; nil for no call.
+	OnCrash func(key registrar.Key, incarnation uint64, requests int)
 	// OnChange is called when a request begins to be refused and when it no longer is.
 	OnChange func(c ContainedRequest, refused bool)
 }
@@ -54,9 +63,14 @@
 	Until time.Time `json:"until"`
 }
 
+// maxRetryAfter bounds Error.RetryAfter: the request may be released before the refusal would end.
+const maxRetryAfter = time.Minute
+
 // Error is the refusal of a request that crashes backend servers; no byte of the request was sent.
 type Error struct {
 	ContainedRequest
+	// RetryAfter is how long the caller should wait before it sends the request again.
+	RetryAfter time.Duration
 }
 
 // Error returns a message with the fingerprint, the backend servers that crashed and the end of the refusal.
@@ -81,8 +95,8 @@
 	// suspects are keyed by fingerprint.
 	suspects map[string]*suspect
 	locks    map[serverIncarnation]*serverLock
-	// suspectCounts is the number of suspects of each service; requests to a service without any need no fingerprint.
-	suspectCounts map[string]int
+	// unreported holds, by fingerprint, what control has not acknowledged.
+	unreported map[string]*CrashReport
 
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -100,7 +114,7 @@
 		possibleCrashes: make(map[serverIncarnation]*possibleCrash),
 		suspects:        make(map[string]*suspect),
 		locks:           make(map[serverIncarnation]*serverLock),
-		suspectCounts:   make(map[string]int),
+		unreported:      make(map[string]*CrashReport),
 		cancel:          cancel,
 	}
 	q.wg.Go(func() {
@@ -129,7 +143,7 @@
 		return nil, err
 	}
 	unlock := func() {}
-	if suspected {
+	if suspected && q.cfg.Isolate {
 		if err = q.stagger(ctx, req); err != nil {
 			return nil, err
 		}
@@ -178,16 +192,35 @@
 	}
 	q.mu.Unlock()
 	if lifted {
-		q.cfg.Share([]string{fingerprint})
+		q.share([]string{fingerprint})
 		q.notifyChange(s)
 	}
 	return lifted
 }
 
+// share shares suspects that have changed, or tells that they are to be reported.
+func (q *Quarantiner) share(fingerprints []string) {
+	if len(fingerprints) == 0 {
+		return
+	}
+	if q.cfg.Share != nil {
+		q.cfg.Share(fingerprints)
+	}
+	if q.cfg.OnReport != nil {
+		q.cfg.OnReport()
+	}
+}
+
+// Admit returns an *Error when the request is refused. Send does the same for the requests that it sends.
+func (q *Quarantiner) Admit(req *sender.Request) error {
+	_, err := q.admit(req)
+	return err
+}
+
 // admit returns an *Error when the request is refused; suspected reports whether it was in flight in a crash that counts.
 func (q *Quarantiner) admit(req *sender.Request) (suspected bool, err error) {
 	q.mu.Lock()
-	hasSuspects := q.suspectCounts[req.Server.Service] > 0
+	hasSuspects := len(q.suspects) > 0
 	q.mu.Unlock()
 	if !hasSuspects {
 		return false, nil
@@ -199,8 +232,8 @@
 	if s == nil {
 		return false, nil
 	}
-	if until := q.refusedUntil(s); q.cfg.Now().Before(until) {
-		return true, &Error{s.contained(until)}
+	if until, now := q.refusedUntil(s), q.cfg.Now(); now.Before(until) {
+		return true, &Error{s.contained(until), min(until.Sub(now), maxRetryAfter)}
 	}
 	return len(s.crashes) > 0, nil
 }
@@ -239,7 +272,7 @@
 func (q *Quarantiner) handleResponse(req *sender.Request) {
 	q.removeInFlight(req)
 	q.mu.Lock()
-	hasSuspects := q.suspectCounts[req.Server.Service] > 0 || len(q.possibleCrashes) > 0
+	hasSuspects := len(q.suspects) > 0 || len(q.possibleCrashes) > 0
 	q.mu.Unlock()
 	if !hasSuspects {
 		return
@@ -250,13 +283,14 @@
 		p.removeAnswered(fingerprint)
 	}
 	s := q.suspects[fingerprint]
-	cleared := s != nil && len(s.crashes) > 0
+	cleared := s != nil && (len(s.crashes) > 0 || s.listed)
 	if cleared {
 		s.clear(q.cfg.Now())
+		q.reportCleared(s)
 	}
 	q.mu.Unlock()
 	if cleared {
-		q.cfg.Share([]string{fingerprint})
+		q.share([]string{fingerprint})
 		q.notifyChange(s)
 	}
 }
--- a/peridot-entry/quarantiner/quarantiner_test.go
+++ b/peridot-entry/quarantiner/quarantiner_test.go
@@ -52,7 +52,8 @@
 				defer c.mu.Unlock()
 				return registrar.Server{Incarnation: 1 + c.incarnation[k.InstanceID]}, true
 			},
-			Expiry: time.Minute,
+			Expiry:  time.Minute,
+			Isolate: true,
 			Share: func(fingerprints []string) {
 				for _, f := range fingerprints {
 					c.entries[1-i].MergeCase(c.entries[i].Case(f))
--- /dev/null
+++ b/peridot-entry/quarantiner/report_test.go
@@ -0,0 +1,95 @@
+package quarantiner
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"peridotswitch.example/peridot-entry/registrar"
+	"peridotswitch.example/peridot-entry/sender"
+)
+
+// reporting is an entry that reports to control; its servers respond as respond says.
+type reporting struct {
+	*Quarantiner
+	now     time.Time
+	respond func(*sender.Request) (*sender.Response, error)
+	refused bool
+	dials   int
+}
+
+func newReporting() *reporting {
+	r := &reporting{now: time.Unix(1000, 0), refused: true}
+	r.respond = func(*sender.Request) (*sender.Response, error) {
+		return nil, &sender.Error{Phase: sender.Waiting, Written: true, Err: io.EOF}
+	}
+	r.Quarantiner = New(Config{
+		Now:  func() time.Time { return r.now },
+		Send: func(_ context.Context, req *sender.Request) (*sender.Response, error) { return r.respond(req) },
+		ConnectionRefused: func(string) bool {
+			r.dials++
+			return r.refused
+		},
+		Find:     func(registrar.Key) (registrar.Server, bool) { return registrar.Server{Incarnation: 1}, true },
+		OnReport: func() {},
+		OnChange: func(ContainedRequest, bool) {},
+	})
+	DeferCleanup(r.Close)
+	return r
+}
+
+func request(server, service string) *sender.Request {
+	return &sender.Request{Address: server, Server: registrar.Key{Service: service, InstanceID: server}, Incarnation: 1, Method: http.MethodGet, Host: "shop", Path: "/item"}
+}
+
+// send sends a request and reads its response.
+func (r *reporting) send(req *sender.Request) error {
+	res, err := r.Send(context.Background(), req)
+	if err == nil {
+		_, err = io.ReadAll(res.Body)
+		res.Body.Close()
+	}
+	return err
+}
+
+func response(shed bool) func(*sender.Request) (*sender.Response, error) {
+	return func(*sender.Request) (*sender.Response, error) {
+		return &sender.Response{Shed: shed, Body: io.NopCloser(strings.NewReader("whole"))}, nil
+	}
+}
+
+var _ = Describe("an entry that reports crashes to control", func() {
+	It("reports each crash until control has acknowledged it", func() {
+		r := newReporting()
+		Expect(r.send(request("a", "s"))).NotTo(Succeed())
+		first := r.Reports()
+		Expect(first).To(HaveLen(1))
+		Expect(first[0].Crashes).To(Equal([]Crash{{"a", 1}}))
+		Expect(r.send(request("b", "s"))).NotTo(Succeed())
+		r.Acknowledge(first)
+		Expect(r.Reports()).To(HaveLen(1), "the second crash came after the first report")
+		Expect(r.Reports()[0].Crashes).To(ContainElement(Crash{"b", 1}))
+		r.Acknowledge(r.Reports())
+		Expect(r.Reports()).To(BeEmpty())
+	})
+
+	It("refuses what control lists before anything is sent, for as long as control lists it", func() {
+		r := newReporting()
+		r.respond = response(false)
+		listed := []CrashReport{{Fingerprint: Fingerprint(request("a", "s")), Crashes: []Crash{{"x", 1}, {"y", 1}}}}
+		r.SetContained(listed)
+		Expect(r.Admit(request("a", "s"))).To(HaveOccurred())
+		Expect(r.Admit(request("a", "another"))).To(HaveOccurred(), "a split route may choose another service for the same request")
+		Expect(r.List()).To(HaveLen(1))
+		r.SetContained(nil)
+		Expect(r.Admit(request("a", "s"))).To(Succeed())
+		r.SetContained(listed)
+		r.now = r.now.Add(DefaultExpiry)
+		Expect(r.Admit(request("a", "s"))).To(Succeed())
+	})
+})
--- a/peridot-entry/quarantiner/suspect.go
+++ b/peridot-entry/quarantiner/suspect.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"sort"
@@ -17,6 +18,9 @@
 	crashes map[crash]time.Time
 	// cleared is when a response or an operator last cleared the suspect; earlier crashes don't count.
 	cleared time.Time
+	// listed is set while control lists the request as contained; listedSince is when this entry learned of it.
+	listed      bool
+	listedSince time.Time
 	// refused is the value last passed to Config.OnChange.
 	refused bool
 }
@@ -29,10 +33,11 @@
 
 const fingerprintBytes = 8
 
-// Fingerprint returns a hash of service, method, path and body; requests with the same hash have the same effect on a backend server.
+// Fingerprint returns a hash of what a backend server gets of a request and of its caller; requests with the same hash have the same effect
+// on a server. It holds the host that the caller called, or else the service: a call by host may go to several services.
 func Fingerprint(req *sender.Request) string {
 	h := sha256.New()
-	for _, s := range []string{req.Server.Service, req.Method, req.Path} {
+	for _, s := range []string{cmp.Or(req.Host, req.Server.Service), req.Method, req.Path, req.Header.Get("Authorization")} {
 		h.Write([]byte(s))
 		h.Write([]byte{0})
 	}
@@ -43,11 +48,15 @@
 func (s *suspect) clear(now time.Time) {
 	s.cleared = now
 	clear(s.crashes)
+	s.listed = false
 }
 
 // lastChange returns the time of the last crash, or of the last clearing when that is later.
 func (s *suspect) lastChange() (last time.Time) {
 	last = s.cleared
+	if s.listedSince.After(last) {
+		last = s.listedSince
+	}
 	for _, at := range s.crashes {
 		if at.After(last) {
 			last = at
@@ -67,6 +76,9 @@
 
 // refusedUntil returns when the request stops being refused; a time in the past means that it isn't refused. The caller holds mu.
 func (q *Quarantiner) refusedUntil(s *suspect) time.Time {
+	if s.listed {
+		return s.listedSince.Add(q.cfg.Expiry)
+	}
 	if len(s.crashes) < crashesToContain {
 		return time.Time{}
 	}
@@ -105,14 +117,13 @@
 		s := q.getOrAddSuspect(fingerprint, req.Server.Service, req.Method, req.Path)
 		if s != nil && at.After(s.cleared) {
 			s.crashes[crash{inc.key.InstanceID, inc.incarnation}] = at
+			q.reportCrash(s, crash{inc.key.InstanceID, inc.incarnation})
 			changed = append(changed, s)
 			fingerprints = append(fingerprints, fingerprint)
 		}
 		q.mu.Unlock()
 	}
-	if len(fingerprints) > 0 {
-		q.cfg.Share(fingerprints)
-	}
+	q.share(fingerprints)
 	for _, s := range changed {
 		q.notifyChange(s)
 	}
@@ -124,7 +135,6 @@
 	if s == nil && len(q.suspects) < maxSuspects {
 		s = &suspect{fingerprint: fingerprint, service: service, method: method, path: path, crashes: make(map[crash]time.Time)}
 		q.suspects[fingerprint] = s
-		q.suspectCounts[service]++
 	}
 	return s
 }
@@ -159,9 +169,6 @@
 		}
 		if s.lastChange().Before(oldest) {
 			delete(q.suspects, fingerprint)
-			if q.suspectCounts[s.service]--; q.suspectCounts[s.service] == 0 {
-				delete(q.suspectCounts, s.service)
-			}
 		}
 	}
 	q.mu.Unlock()
--- /dev/null
+++ b/peridot-entry/supervisor/quarantine.go
@@ -0,0 +1,68 @@
+package supervisor
+
+import (
+	"time"
+
+	"peridotswitch.example/common/delivererpb"
+	"peridotswitch.example/peridot-entry/dispatcher"
+	"peridotswitch.example/peridot-entry/quarantiner"
+	"peridotswitch.example/peridot-entry/registrar"
+	"peridotswitch.example/peridot-entry/sender"
+)
+
+// crashCheckTimeout is how long a call whose connection was lost waits to learn whether its server crashed: a round trip between availability
+// zones and the server's processing time.
+const crashCheckTimeout = 15 * time.Millisecond
+
+// startQuarantiner creates the quarantiner, which reports crashes to control and refuses the requests that control lists.
+func (s *Routed) startQuarantiner() {
+	s.quarantiner = quarantiner.New(quarantiner.Config{
+		Now:               time.Now,
+		Send:              s.sender.Do,
+		ConnectionRefused: connectionRefused,
+		Find:              s.registrar.Find,
+		OnReport: func() {
+			<-s.followerSet
+			s.follower.ReportNow()
+		},
+		MaxCheck: crashCheckTimeout,
+		OnCrash: func(key registrar.Key, incarnation uint64, requests int) {
+			<-s.followerSet
+			s.stats.meter.RecordCrash(key.Service)
+			s.cfg.Log.Info().Str("server", key.InstanceID).Str("service", key.Service).Uint64("started", incarnation).Int("requests", requests).
+				Msg("backend server crashed")
+		},
+		OnChange: logContained(s.cfg.Log),
+	})
+}
+
+// admit refuses a call whose request crashes backend servers, before it takes a place in a queue or probes a server.
+func (s *Routed) admit(c *dispatcher.Call) error {
+	return s.quarantiner.Admit(&sender.Request{
+		Server: registrar.Key{Service: c.Service}, Host: c.Host, Method: c.Method, Path: c.Path, Header: c.Header, Body: c.Body,
+	})
+}
+
+func encodeReports(reports []*quarantiner.CrashReport) (out []*delivererpb.Suspect) {
+	for _, r := range reports {
+		s := &delivererpb.Suspect{Fingerprint: r.Fingerprint, Service: r.Service, Method: r.Method, Path: r.Path, Cleared: r.Cleared}
+		for _, c := range r.Crashes {
+			s.Crashes = append(s.Crashes, &delivererpb.Crash{InstanceId: c.InstanceID, Incarnation: c.Incarnation})
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// setContained passes on control's list of the requests that all entries refuse.
+func (s *Routed) setContained(list []*delivererpb.Suspect) {
+	reports := make([]quarantiner.CrashReport, 0, len(list))
+	for _, c := range list {
+		r := quarantiner.CrashReport{Fingerprint: c.Fingerprint, Service: c.Service, Method: c.Method, Path: c.Path}
+		for _, cr := range c.Crashes {
+			r.Crashes = append(r.Crashes, quarantiner.Crash{InstanceID: cr.InstanceId, Incarnation: cr.Incarnation})
+		}
+		reports = append(reports, r)
+	}
+	s.quarantiner.SetContained(reports)
+}
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -20,6 +20,7 @@
 	"peridotswitch.example/peridot-entry/informer"
 	"peridotswitch.example/peridot-entry/limiter"
 	"peridotswitch.example/peridot-entry/picker"
+	"peridotswitch.example/peridot-entry/quarantiner"
 	"peridotswitch.example/peridot-entry/receiver"
 	"peridotswitch.example/peridot-entry/registrar"
 	"peridotswitch.example/peridot-entry/scout"
@@ -60,13 +61,16 @@
 	follower    *follower.Follower
 	registrar   *registrar.Registrar
 	sender      *sender.Sender
-	picker      *picker.Picker
-	receiver    *receiver.Receiver
-	informer    *informer.Informer
-	stats       *callStats
-	log         *callLog
-	stopping    atomic.Bool
-	refusing    atomic.Bool
+	quarantiner *quarantiner.Quarantiner
+	// reported holds what the last watch request reported of requests that crash servers. Only the goroutine that watches uses it.
+	reported []*quarantiner.CrashReport
+	picker   *picker.Picker
+	receiver *receiver.Receiver
+	informer *informer.Informer
+	stats    *callStats
+	log      *callLog
+	stopping atomic.Bool
+	refusing atomic.Bool
 	// followerSet is closed once the fields follower and stats are set.
 	followerSet chan struct{}
 	// synchronised is set once control has sent the table of backend servers. initialized is closed once routes are known as well.
@@ -100,11 +104,13 @@
 		OnFaulty:         s.recordFaulty,
 	})
 	s.followerSet = make(chan struct{})
+	s.startQuarantiner()
 	s.follow()
 	s.stats, err = newCallStats(cfg.Log, s.follower.Current)
 	close(s.followerSet)
 	if err != nil {
 		s.follower.Close()
+		s.quarantiner.Close()
 		_ = callers.Close()
 		_ = operators.Close()
 		return nil, err
@@ -115,7 +121,8 @@
 		TryAcquire:  limits.TryAcquire,
 		Probe:       s.newScout().Probe,
 		Pick:        s.picker.Pick,
-		Send:        s.sender.Do,
+		Admit:       s.admit,
+		Send:        s.quarantiner.Send,
 		SetHeaders:  cfg.SetHeaders,
 		BudgetBurst: s.budgetBurst,
 	})
@@ -154,6 +161,8 @@
 		OnError:          func(err error) { s.cfg.Log.Warn().Err(err).Msg("control not reached") },
 		OnServers:        s.applyServers,
 		OnFaults:         s.observeFaults,
+		OnContained:      s.setContained,
+		OnAnswered:       func() { s.quarantiner.Acknowledge(s.reported) },
 		OnRevision:       s.onRevision,
 		ParseRouting:     s.cfg.ParseRouting,
 		ServeUnconfirmed: true,
@@ -186,7 +195,7 @@
 		Counts:        s.stats.accountant.Counts,
 		CountedFor:    s.stats.accountant.CountedFor,
 		Servers:       func() []informer.ServerStatus { return nil },
-		Contained:     func() any { return nil },
+		Contained:     func() any { return s.quarantiner.List() },
 		RegisterRoutes: func(mux *http.ServeMux) {
 			mux.Handle(delivererpb.GreeterPathPrefix, delivererpb.NewGreeterServer(greeted{s.follower}))
 		},
@@ -227,6 +236,7 @@
 	}
 	s.sender.Close()
 	s.follower.Close()
+	s.quarantiner.Close()
 	s.cfg.Log.Info().Err(err).Msg("entry stopped")
 	return err
 }
@@ -254,6 +264,7 @@
 
 func (s *Routed) watchRequest() *delivererpb.WatchRequest {
 	<-s.followerSet
+	s.reported = s.quarantiner.Reports()
 	return &delivererpb.WatchRequest{
 		InstanceId:       s.cfg.InstanceID,
 		Address:          s.cfg.Listen,
@@ -263,6 +274,7 @@
 		Synchronised:     s.synchronised.Load() && s.follower.CanServe(),
 		Stopping:         s.stopping.Load(),
 		Faults:           encodeFaults(s.picker.TakeFaults()),
+		Suspects:         encodeReports(s.reported),
 	}
 }
 
--- a/peridot-entry/supervisor/sendpath.go
+++ b/peridot-entry/supervisor/sendpath.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"peridotswitch.example/peridot-entry/prober"
 	"peridotswitch.example/peridot-entry/quarantiner"
@@ -26,14 +27,20 @@
 		ConnectionRefused: connectionRefused,
 		Find:              s.registrar.Find,
 		Expiry:            s.cfg.Containment,
+		Isolate:           true,
 		Share:             func(fingerprints []string) { s.spreader.ShareCases(fingerprints, shareTimeout) },
-		OnChange: func(c quarantiner.ContainedRequest, refused bool) {
-			s.cfg.Log.Warn().Bool("refused", refused).Str("fingerprint", c.Fingerprint).Str("service", c.Service).
-				Str("method", c.Method).Str("path", c.Path).Strs("crashed", c.Servers).Msg("request that crashes backend servers")
-		},
+		OnChange:          logContained(s.cfg.Log),
 	})
 }
 
+// logContained returns a function that logs that a request begins to be refused or no longer is.
+func logContained(log zerolog.Logger) func(quarantiner.ContainedRequest, bool) {
+	return func(c quarantiner.ContainedRequest, refused bool) {
+		log.Warn().Bool("refused", refused).Str("fingerprint", c.Fingerprint).Str("service", c.Service).
+			Str("method", c.Method).Str("path", c.Path).Strs("crashed", c.Servers).Msg("request that crashes backend servers")
+	}
+}
+
 const (
 	// shareTimeout is how long a failed call waits for the other entries to learn of the crash.
 	shareTimeout = 100 * time.Millisecond
