A refusal by a server no longer clears a request that crashes servers

What callers saw: while servers are full, a request that crashes them is refused now and then, is taken for harmless and crashes the next server.

Class: what was not run taken for evidence of what runs.

Change: a response with the proof that the request was not run ends its flight and says nothing about it. The spec failed before: the third server got the request.

--- a/peridot-entry/quarantiner/crash.go
+++ b/peridot-entry/quarantiner/crash.go
@@ -123,8 +123,10 @@
 // trackedBody is a response body that reports whether it was read to its end.
 type trackedBody struct {
 	io.ReadCloser
-	q      *Quarantiner
-	req    *sender.Request
+	q   *Quarantiner
+	req *sender.Request
+	// notRun is set for a refusal: it doesn't tell what the request does to a server that runs it.
+	notRun bool
 	unlock func()
 	done   bool
 }
@@ -136,9 +138,12 @@
 		return n, err
 	}
 	b.done = true
-	if err == io.EOF {
+	switch {
+	case err == io.EOF && b.notRun:
+		b.q.removeInFlight(b.req)
+	case err == io.EOF:
 		b.q.handleResponse(b.req)
-	} else {
+	default:
 		b.q.handleError(b.req, err)
 	}
 	b.unlock()
--- a/peridot-entry/quarantiner/quarantiner.go
+++ b/peridot-entry/quarantiner/quarantiner.go
@@ -163,7 +163,7 @@
 		unlock()
 		return nil, err
 	}
-	res.Body = &trackedBody{ReadCloser: res.Body, q: q, req: req, unlock: unlock}
+	res.Body = &trackedBody{ReadCloser: res.Body, q: q, req: req, notRun: res.Shed || res.WrongServer, unlock: unlock}
 	return res, nil
 }
 
@@ -268,7 +268,8 @@
 	q.removeInFlight(req)
 }
 
-// handleResponse ends a request whose response was read to its end. Such a request doesn't crash servers, so it is no longer a suspect.
+// handleResponse ends a request that a server has run and whose response was read to its end. Such a request doesn't crash servers, so it is
+// no longer a suspect.
 func (q *Quarantiner) handleResponse(req *sender.Request) {
 	q.removeInFlight(req)
 	q.mu.Lock()
--- a/peridot-entry/quarantiner/report_test.go
+++ b/peridot-entry/quarantiner/report_test.go
@@ -92,4 +92,23 @@
 		r.now = r.now.Add(DefaultExpiry)
 		Expect(r.Admit(request("a", "s"))).To(Succeed())
 	})
+
+	// Guards against a full server whose refusal makes a request that crashes servers look harmless.
+	It("clears a suspect only when a server has run it", func() {
+		r := newReporting()
+		Expect(r.send(request("a", "s"))).NotTo(Succeed())
+		crash := r.respond
+		r.respond = response(true)
+		Expect(r.send(request("b", "s"))).To(Succeed())
+		r.respond = crash
+		Expect(r.send(request("c", "s"))).NotTo(Succeed())
+		Expect(r.Admit(request("d", "s"))).To(HaveOccurred())
+
+		r = newReporting()
+		Expect(r.send(request("a", "s"))).NotTo(Succeed())
+		r.respond = response(false)
+		Expect(r.send(request("b", "s"))).To(Succeed())
+		Expect(r.Reports()).To(HaveLen(1))
+		Expect(r.Reports()[0].Cleared).To(BeTrue())
+	})
 })
