A lost connection is checked for a crash again after an earlier one that was none

What callers saw: a server that resets connections when it is full and then crashes under a request is not counted as crashed by that request.

Class: a result that outlives what it was about.

Change: only losses within 0.1 s of each other share a check, as those of one crash do; a later one is checked anew and replaces the earlier. The spec failed before: no crash was reported.

--- a/peridot-entry/quarantiner/crash.go
+++ b/peridot-entry/quarantiner/crash.go
@@ -18,14 +18,18 @@
 	done chan struct{}
 }
 
+// crashSpread is longer than the connections to a crashed server take to break. A connection that is lost later than that after another
+// one, where the server had not crashed, may mean a crash again.
+const crashSpread = 100 * time.Millisecond
+
 // checkCrash checks whether the backend server crashed. The first call for an incarnation dials the server and records all
-// requests in flight there; concurrent calls wait for its result. When it returns, the crash has been shared with the other
+// requests in flight there; calls up to crashSpread after it wait for its result. When it returns, the crash has been shared with the other
 // entries, unless that takes longer than Config.MaxCheck.
 func (q *Quarantiner) checkCrash(req *sender.Request) (crashed bool) {
 	inc := serverIncarnation{req.Server, req.Incarnation}
 	q.mu.Lock()
 	p := q.possibleCrashes[inc]
-	if p != nil {
+	if p != nil && (p.confirmed || q.cfg.Now().Sub(p.detected) < crashSpread) {
 		added := p.add(req)
 		q.mu.Unlock()
 		q.await(p)
--- a/peridot-entry/quarantiner/report_test.go
+++ b/peridot-entry/quarantiner/report_test.go
@@ -111,4 +111,17 @@
 		Expect(r.Reports()).To(HaveLen(1))
 		Expect(r.Reports()[0].Cleared).To(BeTrue())
 	})
+
+	// Guards against a reset connection, as full servers cause, that hides a crash of the same server soon after it.
+	It("checks again when another connection to the same server is lost later", func() {
+		r := newReporting()
+		r.refused = false
+		Expect(r.send(request("a", "s"))).NotTo(Succeed())
+		Expect(r.Reports()).To(BeEmpty())
+		r.now = r.now.Add(time.Second)
+		r.refused = true
+		Expect(r.send(request("a", "s"))).NotTo(Succeed())
+		Expect(r.Reports()).To(HaveLen(1))
+		Expect(r.dials).To(Equal(2))
+	})
 })
