--- a/peridot-control/quarantiner/quarantiner_test.go
+++ b/peridot-control/quarantiner/quarantiner_test.go
@@ -27,12 +27,16 @@
 }
 
 func (s *simulation) report(fingerprint string, cleared bool, servers ...string) {
+	s.record(fingerprint, cleared, servers...)
+	s.commit()
+}
+
+func (s *simulation) record(fingerprint string, cleared bool, servers ...string) {
 	r := Report{ContainedRequest: arbiter.ContainedRequest{Fingerprint: fingerprint}, Cleared: cleared}
 	for _, id := range servers {
 		r.Crashes = append(r.Crashes, arbiter.Crash{InstanceID: id, Incarnation: 1})
 	}
 	s.q.Record([]Report{r})
-	s.commit()
 }
 
 func (s *simulation) commit() {
@@ -117,7 +121,7 @@
 	s := newSimulation()
 	for i := range 2 * maxSuspects {
 		s.now = s.now.Add(time.Millisecond)
-		s.report(fmt.Sprint(i), false, "a")
+		s.record(fmt.Sprint(i), false, "a")
 	}
 	if n := len(s.q.suspects); n > maxSuspects {
 		t.Errorf("%d suspects, want at most %d", n, maxSuspects)
