--- a/peridot-control/quarantiner/quarantiner.go
+++ b/peridot-control/quarantiner/quarantiner.go
@@ -1,6 +1,8 @@
 package quarantiner
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,7 +17,7 @@
 	// sharedExpiry is how long a request is contained if another one was in flight in all of the same crashes: only one of them may be the
 	// cause.
 	sharedExpiry = 30 * time.Second
-	// maxSuspects limits the requests that are counted; beyond it the one whose last crash is the oldest is dropped.
+	// maxSuspects limits the requests that are counted.
 	maxSuspects = 4096
 	// maxCrashes limits the crashes that are kept of one request.
 	maxCrashes = 8
@@ -73,7 +75,7 @@
 		}
 		s := q.suspects[r.Fingerprint]
 		if s == nil || now.Sub(s.lastCrash) > Expiry {
-			q.dropOldest(now)
+			q.dropOldest()
 			s = &suspect{request: r.ContainedRequest, crashes: make(map[arbiter.Crash]bool)}
 			q.suspects[r.Fingerprint] = s
 		}
@@ -89,21 +91,14 @@
 	}
 }
 
-// dropOldest drops the suspects whose crashes don't count any more, and makes room for another one.
-func (q *Quarantiner) dropOldest(now time.Time) {
+// dropOldest makes room for another suspect: it drops an eighth of them, those whose last crashes are the oldest.
+func (q *Quarantiner) dropOldest() {
 	if len(q.suspects) < maxSuspects {
 		return
 	}
-	oldest := ""
-	for f, s := range q.suspects {
-		if now.Sub(s.lastCrash) > Expiry {
-			delete(q.suspects, f)
-		} else if oldest == "" || s.lastCrash.Before(q.suspects[oldest].lastCrash) {
-			oldest = f
-		}
-	}
-	if len(q.suspects) >= maxSuspects {
-		delete(q.suspects, oldest)
+	list := slices.SortedFunc(maps.Values(q.suspects), func(a, b *suspect) int { return a.lastCrash.Compare(b.lastCrash) })
+	for _, s := range list[:maxSuspects/8] {
+		delete(q.suspects, s.request.Fingerprint)
 	}
 }
 
