Entries log the request limits that backend servers name

The header is now read and each change logged with server and limit; nothing else follows from it yet.

--- a/peridot-entry/dispatcher/attempt.go
+++ b/peridot-entry/dispatcher/attempt.go
@@ -52,7 +52,7 @@
 		err = errShed
 		body.Close()
 	}
-	result := picker.Result{Status: res.Status, Shed: res.Shed && !res.WrongServer, Draining: res.Draining, Unreachable: res.WrongServer, Load: res.Load}
+	result := picker.Result{Status: res.Status, Shed: res.Shed && !res.WrongServer, Draining: res.Draining, Unreachable: res.WrongServer, Load: res.Load, RateLimit: res.RateLimit}
 	if err != nil {
 		a.fail(ctx, req, err, result, s)
 		return
--- a/peridot-entry/picker/group.go
+++ b/peridot-entry/picker/group.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"peridotswitch.example/peridot-entry/registrar"
+	"peridotswitch.example/peridot-entry/sender"
 )
 
 const (
@@ -50,6 +51,8 @@
 	policy   Policy
 	entries  func() int
 	onFaulty func(FaultyServer)
+	// onRateLimit is Config.OnRateLimit.
+	onRateLimit func(registrar.Key, sender.RateLimit)
 	// startedAt is when this entry started.
 	startedAt time.Time
 	// view is the registrar's list that servers was made from.
@@ -94,7 +97,7 @@
 }
 
 func newGroup(cfg Config, startedAt time.Time) *group {
-	return &group{policy: cfg.Policy, startedAt: startedAt, entries: cfg.Entries, onFaulty: cfg.OnFaulty, known: make(map[identity]*server), turn: rand.IntN(math.MaxInt32)}
+	return &group{policy: cfg.Policy, startedAt: startedAt, entries: cfg.Entries, onFaulty: cfg.OnFaulty, onRateLimit: cfg.OnRateLimit, known: make(map[identity]*server), turn: rand.IntN(math.MaxInt32)}
 }
 
 // update takes over the registrar's list of servers. The registrar makes a new list on each change, so one at the same address is the
@@ -376,6 +379,7 @@
 func (g *group) recordResult(c *Choice, r *Result, now time.Time) {
 	s := c.server
 	s.recordResult(r, now)
+	g.recordRateLimit(c, r)
 	if r.Err == nil && !r.Shed && !r.Canceled && !isFailure(r) {
 		g.recent[g.recentCount%recentLatencies] = float64(r.Latency) / c.slowdown
 		g.recentCount++
--- a/peridot-entry/picker/picker.go
+++ b/peridot-entry/picker/picker.go
@@ -55,6 +55,7 @@
 	// Unreachable is true when nothing listens at the server's address, or another server does.
 	Unreachable bool
 	Load        *sender.Load
+	RateLimit   sender.RateLimit
 	// Latency is the time from the attempt's start to its response or failure.
 	Latency time.Duration
 }
@@ -95,6 +96,9 @@
 	Entries func() int
 	// OnFaulty is called when one of the servers that this entry sends calls to becomes faulty; it must not block; nil for no call.
 	OnFaulty func(FaultyServer)
+	// OnRateLimit is called when a response shows that a server limits requests, limits them differently or no longer does; it must not
+	// block; nil for no call.
+	OnRateLimit func(registrar.Key, sender.RateLimit)
 	// Policy defaults to Corrected.
 	Policy Policy
 	Now    func() time.Time
--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -163,6 +163,7 @@
 		Shed:        info.Shed,
 		Draining:    info.Draining,
 		WrongServer: info.WrongServer,
+		RateLimit:   info.RateLimit,
 		Timing:      e.timing,
 	}, nil
 }
--- a/peridot-entry/sender/sender.go
+++ b/peridot-entry/sender/sender.go
@@ -47,6 +47,13 @@
 	Slowdown float64
 }
 
+// RateLimit is the number of requests per second that a backend server takes from all entries together, as a response names it.
+type RateLimit struct {
+	PerSecond float64
+	// Named is true when the response names a limit, Malformed when it names one that can't be read.
+	Named, Malformed bool
+}
+
 // HeaderInfo is the information in a response's header that the entry itself uses.
 type HeaderInfo struct {
 	Load     *Load
@@ -56,6 +63,7 @@
 	WrongServer bool
 	// RequestID is the id of the request that the response belongs to; empty when the header has none.
 	RequestID string
+	RateLimit RateLimit
 	// InvalidReason is why the response can't be the server's own; empty when it can.
 	InvalidReason string
 }
@@ -71,6 +79,7 @@
 	Shed        bool
 	Draining    bool
 	WrongServer bool
+	RateLimit   RateLimit
 	Timing      Timing
 }
 
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -102,6 +102,7 @@
 		MaxInFlight:      s.connectionCap,
 		Entries:          s.budgetEntries,
 		OnFaulty:         s.recordFaulty,
+		OnRateLimit:      s.recordRateLimit,
 	})
 	s.followerSet = make(chan struct{})
 	s.startQuarantiner()
@@ -307,6 +308,14 @@
 		Dur("for-ms", e.For).Msg("backend server faulty")
 }
 
+func (s *Routed) recordRateLimit(k registrar.Key, limit sender.RateLimit) {
+	event := s.cfg.Log.Info().Str("server", k.InstanceID).Str("service", k.Service)
+	if limit.Named {
+		event = event.Float64("per-second", limit.PerSecond)
+	}
+	event.Bool("limited", limit.Named).Msg("backend server limits requests")
+}
+
 // maxReportedFaults bounds the faults of one report that are believed.
 const maxReportedFaults = 1000
 
