--- a/peridot-entry/picker/sim_test.go
+++ b/peridot-entry/picker/sim_test.go
@@ -64,6 +64,18 @@
 	stretch float64
 	// calls counts the calls that the server was sent.
 	calls int
+	// rateLimit is the limit that the server names in its responses, since namedAt.
+	rateLimit sender.RateLimit
+	namedAt   time.Time
+	// toldAt is when each entry first passed on a response with a limit, arrivals the calls sent since the limit was named.
+	toldAt   map[*Picker]time.Time
+	arrivals []simArrival
+}
+
+// simArrival is a call that has reached a server.
+type simArrival struct {
+	at    time.Time
+	entry *Picker
 }
 
 // sim is a discrete-event simulation of a service behind entries that don't communicate with each other.
@@ -244,6 +256,7 @@
 	i := s.index(c.Server.InstanceID)
 	srv := s.servers[i]
 	srv.calls++
+	srv.arrivals = append(srv.arrivals, simArrival{s.now, k.entry})
 	switch {
 	case srv.unreachable:
 		c.Done(Result{Err: errors.New("refused"), Unreachable: true})
@@ -280,7 +293,7 @@
 			srv.waiting = srv.waiting[1:]
 			next()
 		}
-		load := s.load(i)
+		load, limit := s.load(i), srv.rateLimit
 		faulty := srv.faultRate > 0 && s.rnd.Float64() < srv.faultRate
 		s.after(simTrip, func() {
 			if faulty {
@@ -288,7 +301,10 @@
 				s.lost[k.second]++
 				return
 			}
-			c.Done(Result{Status: http.StatusOK, Latency: s.now.Sub(begin), Load: &load})
+			if limit.Named && srv.toldAt[k.entry].IsZero() {
+				srv.toldAt[k.entry] = s.now
+			}
+			c.Done(Result{Status: http.StatusOK, Latency: s.now.Sub(begin), Load: &load, RateLimit: limit})
 			if s.now.Sub(k.arrived) <= simObjective {
 				s.good[k.second]++
 			} else {
--- a/prover/platform_fleet_test.go
+++ b/prover/platform_fleet_test.go
@@ -175,10 +175,13 @@
 	mu          sync.Mutex
 	runCounts   map[string]int
 	lastRun     time.Time
+	arrivals    []time.Time
 	// dropResponse closes the connection after the call has run; full refuses calls as not executed.
 	dropResponse, full atomic.Bool
 	// slow makes calls take longer than the service's objective latency.
 	slow atomic.Bool
+	// rateLimit is the limit that the server names in its responses to calls; nil for none.
+	rateLimit atomic.Pointer[string]
 	// crash ends the server when it runs a call to the path crashPath; nil for a server that doesn't crash.
 	crashPath string
 	crash     func()
@@ -297,7 +300,11 @@
 	s.mu.Lock()
 	s.runCounts[id]++
 	s.lastRun = time.Now()
+	s.arrivals = append(s.arrivals, s.lastRun)
 	s.mu.Unlock()
+	if limit := s.rateLimit.Load(); limit != nil {
+		h.Set("Server-Limit", *limit)
+	}
 	time.Sleep(s.serviceTime)
 	if s.crash != nil && req.URL.Path == s.crashPath {
 		s.crash()
