--- a/peridot-control/deliverer/deliverer.go
+++ b/peridot-control/deliverer/deliverer.go
@@ -137,7 +137,7 @@
 
 	compressedServers compressedServers
 	compressedList    compressedList
-	faults            *faultLog
+	reports           *reportLog
 	suspects          suspectQueue
 	quarantiner       *quarantiner.Quarantiner
 	// releasing is set while a command that releases requests is in progress.
@@ -156,7 +156,7 @@
 	d := &Deliverer{
 		cfg: cfg, startedAt: cfg.Now(), table: newTable(cfg.Now, cfg.EntryLease), cancel: cancel,
 		pending: make(map[string]*delivererpb.EntryMember), lastQueued: make(map[string]queuedEntry), renewSignal: make(chan struct{}, 1),
-		confirmedChanged: make(chan struct{}), clients: make(map[string]*leaderClient), faults: newFaultLog(),
+		confirmedChanged: make(chan struct{}), clients: make(map[string]*leaderClient), reports: newReportLog(),
 		quarantiner: quarantiner.New(quarantiner.Config{Now: cfg.Now}),
 	}
 	d.wg.Go(func() { d.renewLoop(ctx) })
@@ -176,7 +176,7 @@
 		return nil, twirp.NewError(twirp.Unavailable, "this member has not joined yet; ask another one")
 	}
 	d.queueRenewal(req)
-	d.faults.add(req.Faults)
+	d.reports.add(req.ServerReports)
 	if d.suspects.add(req.Suspects) {
 		d.triggerRenewal()
 	}
@@ -215,8 +215,8 @@
 func (d *Deliverer) reply(req *delivererpb.WatchRequest, cur arbiter.Configuration, lease time.Duration) *delivererpb.WatchReply {
 	reply := &delivererpb.WatchReply{Revision: cur.Revision, LeaseMs: uint32(lease.Milliseconds())}
 	d.addLists(reply, req)
-	faults, faultsVersion := d.faults.since(listVersion(req.FaultsVersion), d.cfg.Now())
-	reply.Faults, reply.FaultsVersion = faults, uint64(faultsVersion)
+	reports, reportsVersion := d.reports.since(listVersion(req.ServerReportsVersion), d.cfg.Now())
+	reply.ServerReports, reply.ServerReportsVersion = reports, uint64(reportsVersion)
 	d.addServers(reply, req.ServersVersion)
 	d.addContained(reply, req.ContainedVersion)
 	if cur.Revision <= req.Revision {
--- a/peridot-control/deliverer/entries.go
+++ b/peridot-control/deliverer/entries.go
@@ -110,7 +110,7 @@
 // renewWithLeader sends a renewal to the leader at address and brings this member's copy of the list up to date.
 func (d *Deliverer) renewWithLeader(ctx context.Context, address string, req *delivererpb.RenewRequest) error {
 	req.EntriesVersion, req.AcceptsDeltas = uint64(d.table.currentVersion()), true
-	req.FaultsVersion = uint64(d.faults.leaderVersion())
+	req.ServerReportsVersion = uint64(d.reports.leaderVersion())
 	reply, err := d.client(address).deliverer.Renew(ctx, req)
 	if err != nil {
 		return err
@@ -119,7 +119,7 @@
 		return err
 	}
 	d.serverLeases.setAccepts(address, reply.RenewsServers)
-	d.faults.addFromLeader(reply.Faults, listVersion(reply.FaultsVersion), d.cfg.Now())
+	d.reports.addFromLeader(reply.ServerReports, listVersion(reply.ServerReportsVersion), d.cfg.Now())
 	if reply.EntriesVersion != req.EntriesVersion {
 		d.table.apply(&listChanges{
 			version: listVersion(reply.EntriesVersion), full: !reply.EntriesDelta, partial: reply.EntriesPartial,
--- a/peridot-control/deliverer/renewer.go
+++ b/peridot-control/deliverer/renewer.go
@@ -91,10 +91,10 @@
 	}
 }
 
-// currentRenewInterval is shorter while there are fault reports, which are useful only while they are recent.
+// currentRenewInterval is shorter while there are reports on backend servers, which are useful only while they are recent.
 func (d *Deliverer) currentRenewInterval() time.Duration {
-	if d.faults.isActive(d.cfg.Now()) {
-		return faultRenewInterval
+	if d.reports.isActive(d.cfg.Now()) {
+		return reportRenewInterval
 	}
 	return renewInterval
 }
@@ -137,7 +137,7 @@
 	batch := d.pending
 	d.pending = make(map[string]*delivererpb.EntryMember)
 	d.mu.Unlock()
-	req := &delivererpb.RenewRequest{Faults: d.faults.takePending(), RenewedServers: d.serverLeases.takePending(), Suspects: d.suspects.take()}
+	req := &delivererpb.RenewRequest{ServerReports: d.reports.takePending(), RenewedServers: d.serverLeases.takePending(), Suspects: d.suspects.take()}
 	for _, m := range batch {
 		req.Entries = append(req.Entries, m)
 	}
@@ -191,9 +191,9 @@
 	if err = d.recordSuspects(ctx, req.Suspects); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
-	d.faults.publish(req.Faults, d.cfg.Now())
-	faults, faultsVersion := d.faults.since(listVersion(req.FaultsVersion), d.cfg.Now())
-	reply := &delivererpb.RenewReply{Commit: commit, EntriesVersion: uint64(d.table.currentVersion()), Faults: faults, FaultsVersion: uint64(faultsVersion), RenewsServers: true}
+	d.reports.publish(req.ServerReports, d.cfg.Now())
+	reports, reportsVersion := d.reports.since(listVersion(req.ServerReportsVersion), d.cfg.Now())
+	reply := &delivererpb.RenewReply{Commit: commit, EntriesVersion: uint64(d.table.currentVersion()), ServerReports: reports, ServerReportsVersion: uint64(reportsVersion), RenewsServers: true}
 	if req.AcceptsDeltas {
 		c := d.table.changesSince(listVersion(req.EntriesVersion))
 		reply.EntriesVersion, reply.Entries, reply.EntriesGone = uint64(c.version), c.members, c.gone
--- a/peridot-control/deliverer/faults_test.go
+++ b/peridot-control/deliverer/reports_test.go
@@ -7,13 +7,13 @@
 	"peridotswitch.example/common/delivererpb"
 )
 
-func report(id string, n uint32) []*delivererpb.FaultReport {
-	return []*delivererpb.FaultReport{{Service: "s", InstanceId: id, Incarnation: 1, Faults: n}}
+func report(id string, n uint32) []*delivererpb.ServerReport {
+	return []*delivererpb.ServerReport{{Service: "s", InstanceId: id, Incarnation: 1, Faults: n}}
 }
 
-func TestFaultReportsReachOtherMembersOnce(t *testing.T) {
+func TestReportsReachOtherMembersOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
-	leader, member := newFaultLog(), newFaultLog()
+	leader, member := newReportLog(), newReportLog()
 	_, leaderVersion := leader.since(0, now)
 	member.addFromLeader(nil, leaderVersion, now)
 	_, watcher := member.since(0, now)
@@ -38,10 +38,10 @@
 	}
 }
 
-// Fault reports say little about a server's present state once they are old, and nothing to an entry that has just turned to this member.
-func TestOldFaultReportsAreNotPassedOn(t *testing.T) {
+// Reports say little about a server's present state once they are old, and nothing to an entry that has just turned to this member.
+func TestOldReportsAreNotPassedOn(t *testing.T) {
 	now := time.Unix(1000, 0)
-	f := newFaultLog()
+	f := newReportLog()
 	_, start := f.since(0, now)
 	f.publish(report("i-1", 1), now)
 	tests := map[string]struct {
@@ -49,8 +49,8 @@
 		at   time.Time
 		want int
 	}{
-		"recent":                     {start, now.Add(faultReportAge), 1},
-		"old":                        {start, now.Add(faultReportAge + time.Millisecond), 0},
+		"recent":                     {start, now.Add(reportAge), 1},
+		"old":                        {start, now.Add(reportAge + time.Millisecond), 0},
 		"version of another member":  {newListVersion() + 1<<listCountBits, now, 0},
 		"an entry without a version": {0, now, 0},
 	}
@@ -63,14 +63,14 @@
 	}
 }
 
-func TestFaultReportsAreBounded(t *testing.T) {
+func TestServerReportsAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
-	f := newFaultLog()
-	for i := range 2 * maxFaultReports {
+	f := newReportLog()
+	for i := range 2 * maxServerReports {
 		f.publish(report("i", 1), now)
-		f.add([]*delivererpb.FaultReport{{InstanceId: "i", Incarnation: uint64(i), Faults: 1}})
+		f.add([]*delivererpb.ServerReport{{InstanceId: "i", Incarnation: uint64(i), Faults: 1}})
 	}
-	if len(f.reports) > maxFaultReports || len(f.pending) > maxFaultReports {
-		t.Errorf("%d reports and %d pending ones are kept, want at most %d", len(f.reports), len(f.pending), maxFaultReports)
+	if len(f.reports) > maxServerReports || len(f.pending) > maxServerReports {
+		t.Errorf("%d reports and %d pending ones are kept, want at most %d", len(f.reports), len(f.pending), maxServerReports)
 	}
 }
--- a/peridot-entry/follower/control.go
+++ b/peridot-entry/follower/control.go
@@ -40,10 +40,10 @@
 	addresses []string
 	current   int
 	client    *http.Client
-	// entries is the list of entries held. controlVersion and faultsVersion are numbered by the current member.
+	// entries is the list of entries held. controlVersion and reportsVersion are numbered by the current member.
 	entries         entryList
 	controlVersion  uint64
-	faultsVersion   uint64
+	reportsVersion  uint64
 	lastWatchFailed bool
 	// failedMembers holds the addresses of members that have failed since the last successful watch.
 	failedMembers map[string]bool
@@ -193,7 +193,7 @@
 	if w.client != nil {
 		w.client.CloseIdleConnections()
 	}
-	w.controlVersion, w.faultsVersion = 0, 0
+	w.controlVersion, w.reportsVersion = 0, 0
 	w.client = &http.Client{Transport: &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableCompression: true,
@@ -222,7 +222,7 @@
 	f := w.f
 	req := f.cfg.NewWatchRequest()
 	req.EntriesVersion, req.ControlVersion, req.AcceptsDeltas = w.entries.version, w.controlVersion, true
-	req.ServersVersion, req.FaultsVersion, req.ContainedVersion = f.serversVersion, w.faultsVersion, f.containedVersion
+	req.ServersVersion, req.ServerReportsVersion, req.ContainedVersion = f.serversVersion, w.reportsVersion, f.containedVersion
 	if cur := f.Current(); cur != nil {
 		req.Revision = cur.Revision
 	}
@@ -273,9 +273,9 @@
 		until := sent.Add(min(maxLease, time.Duration(reply.LeaseMs)*time.Millisecond))
 		f.controlExpires.Store(&until)
 	}
-	w.faultsVersion = reply.FaultsVersion
-	if f.cfg.OnFaults != nil && len(reply.Faults) > 0 {
-		f.cfg.OnFaults(reply.Faults)
+	w.reportsVersion = reply.ServerReportsVersion
+	if f.cfg.OnServerReports != nil && len(reply.ServerReports) > 0 {
+		f.cfg.OnServerReports(reply.ServerReports)
 	}
 	if f.cfg.OnContained != nil && reply.ContainedVersion > f.containedVersion {
 		f.cfg.OnContained(reply.Contained)
--- a/peridot-entry/follower/follower.go
+++ b/peridot-entry/follower/follower.go
@@ -33,8 +33,8 @@
 	// OnServers is called with changes to control's table of backend servers, or with the full table if full is set. It is nil if
 	// backend servers announce themselves to entries.
 	OnServers func(changed []*delivererpb.BackendServer, full bool)
-	// OnFaults is called with the faults of backend servers that other entries have reported; nil for no call.
-	OnFaults func([]*delivererpb.FaultReport)
+	// OnServerReports is called with what entries have reported of backend servers; nil for no call.
+	OnServerReports func([]*delivererpb.ServerReport)
 	// OnContained is called with the whole list of the requests that all entries refuse, when it has changed; nil for no call.
 	OnContained func([]*delivererpb.Suspect)
 	// OnAnswered is called when control has answered the request that NewWatchRequest returned last; nil for no call.
--- a/peridot-entry/picker/faults.go
+++ b/peridot-entry/picker/faults.go
@@ -9,8 +9,8 @@
 	"peridotswitch.example/peridot-entry/registrar"
 )
 
-// FaultReport counts the faults of one incarnation of a backend server: calls that failed at it or took much longer than usual.
-type FaultReport struct {
+// ServerReport counts the faults of one incarnation of a backend server: calls that failed at it or took much longer than usual.
+type ServerReport struct {
 	Key         registrar.Key
 	Incarnation uint64
 	Faults      int
@@ -129,12 +129,12 @@
 	g.addFaults(c.server, 1, now)
 }
 
-// TakeFaults returns the faults that this entry has seen since the last call, which count attempts in flight too.
-func (p *Picker) TakeFaults() (reports []FaultReport) {
+// TakeReports returns the faults that this entry has seen since the last call, which count attempts in flight too.
+func (p *Picker) TakeReports() (reports []ServerReport) {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	for _, g := range p.services {
-		reports = append(reports, g.takeFaults(p.cfg.Now())...)
+		reports = append(reports, g.takeReports(p.cfg.Now())...)
 	}
 	if len(reports) > maxFaultyServers || p.cfg.Now().Sub(p.startedAt) < settleTime {
 		return nil
@@ -142,7 +142,7 @@
 	return reports
 }
 
-func (g *group) takeFaults(now time.Time) (reports []FaultReport) {
+func (g *group) takeReports(now time.Time) (reports []ServerReport) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, s := range g.servers {
@@ -150,7 +150,7 @@
 			g.recordFault(c, now)
 		}
 		if s.unreported > 0 {
-			reports = append(reports, FaultReport{s.announced.Key(), s.announced.Incarnation, s.unreported})
+			reports = append(reports, ServerReport{s.announced.Key(), s.announced.Incarnation, s.unreported})
 			s.reported += s.unreported
 			s.unreported = 0
 		}
@@ -158,8 +158,8 @@
 	return reports
 }
 
-// ObserveFaults records the faults that all entries have reported, this one included.
-func (p *Picker) ObserveFaults(reports []FaultReport) {
+// ObserveReports records the faults that all entries have reported, this one included.
+func (p *Picker) ObserveReports(reports []ServerReport) {
 	for _, r := range reports {
 		g := p.group(r.Key.Service)
 		g.mu.Lock()
--- a/peridot-entry/picker/faults_test.go
+++ b/peridot-entry/picker/faults_test.go
@@ -96,11 +96,11 @@
 		t.Fatal(err)
 	}
 	c.Done(Result{Status: 500, Latency: time.Millisecond})
-	reports := p.TakeFaults()
+	reports := p.TakeReports()
 	if len(reports) != 1 || reports[0].Faults != 1 || reports[0].Incarnation != 2 {
 		t.Fatalf("reports are %+v, want one fault of incarnation 2", reports)
 	}
-	if again := p.TakeFaults(); len(again) > 0 {
+	if again := p.TakeReports(); len(again) > 0 {
 		t.Errorf("a fault was reported twice: %+v", again)
 	}
 	s := p.group("s").servers[0]
@@ -110,7 +110,7 @@
 	}{{2, 1}, {1, 1}, {2, 2}}
 	for i, tt := range tests {
 		reports[0].Incarnation = tt.incarnation
-		p.ObserveFaults(reports)
+		p.ObserveReports(reports)
 		if got := s.faults.value(now); got != tt.want {
 			t.Errorf("after report %d the server has %g faults, want %g", i, got, tt.want)
 		}
@@ -216,7 +216,7 @@
 			t.Fatalf("%s of another zone was picked", c.Server.InstanceID)
 		}
 		if used[c.Server.InstanceID] = true; len(used) <= subsetSize/2+1 {
-			p.ObserveFaults([]FaultReport{{Key: c.Server.Key(), Faults: 100}})
+			p.ObserveReports([]ServerReport{{Key: c.Server.Key(), Faults: 100}})
 		}
 		c.Done(Result{Status: 200, Latency: time.Millisecond})
 	}
@@ -246,11 +246,11 @@
 				t.Fatal(err)
 			}
 			c.Done(Result{Status: 500, Latency: time.Millisecond})
-			p.ObserveFaults([]FaultReport{{Key: view[0].Key(), Faults: 3}})
+			p.ObserveReports([]ServerReport{{Key: view[0].Key(), Faults: 3}})
 			if got := p.group("s").servers[0].isFaulty(now); got != tt.want {
 				t.Errorf("faulty is %t, want %t", got, tt.want)
 			}
-			if got := len(p.TakeFaults()) > 0; got != tt.want {
+			if got := len(p.TakeReports()) > 0; got != tt.want {
 				t.Errorf("reported is %t, want %t", got, tt.want)
 			}
 		})
--- a/peridot-entry/picker/sim_test.go
+++ b/peridot-entry/picker/sim_test.go
@@ -381,10 +381,10 @@
 	for _, p := range s.entries {
 		var tick func()
 		tick = func() {
-			if reports := p.TakeFaults(); len(reports) > 0 {
+			if reports := p.TakeReports(); len(reports) > 0 {
 				s.after(delay, func() {
 					for _, other := range s.entries {
-						other.ObserveFaults(reports)
+						other.ObserveReports(reports)
 					}
 				})
 			}
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -161,7 +161,7 @@
 		NewWatchRequest:  s.watchRequest,
 		OnError:          func(err error) { s.cfg.Log.Warn().Err(err).Msg("control not reached") },
 		OnServers:        s.applyServers,
-		OnFaults:         s.observeFaults,
+		OnServerReports:  s.observeReports,
 		OnContained:      s.setContained,
 		OnAnswered:       func() { s.quarantiner.Acknowledge(s.reported) },
 		OnRevision:       s.onRevision,
@@ -274,32 +274,32 @@
 		Incarnation:      s.incarnation,
 		Synchronised:     s.synchronised.Load() && s.follower.CanServe(),
 		Stopping:         s.stopping.Load(),
-		Faults:           encodeFaults(s.picker.TakeFaults()),
+		ServerReports:    encodeServerReports(s.picker.TakeReports()),
 		Suspects:         encodeReports(s.reported),
 	}
 }
 
-func encodeFaults(reports []picker.FaultReport) (out []*delivererpb.FaultReport) {
+func encodeServerReports(reports []picker.ServerReport) (out []*delivererpb.ServerReport) {
 	for _, r := range reports {
-		out = append(out, &delivererpb.FaultReport{
+		out = append(out, &delivererpb.ServerReport{
 			Service: r.Key.Service, InstanceId: r.Key.InstanceID, Incarnation: r.Incarnation, Faults: uint32(r.Faults),
 		})
 	}
 	return out
 }
 
-// observeFaults passes on the faults that entries have reported to control.
-func (s *Routed) observeFaults(reports []*delivererpb.FaultReport) {
+// observeReports passes on what entries have reported of backend servers to control.
+func (s *Routed) observeReports(reports []*delivererpb.ServerReport) {
 	<-s.followerSet
-	var out []picker.FaultReport
+	var out []picker.ServerReport
 	for _, r := range reports {
-		out = append(out, picker.FaultReport{
+		out = append(out, picker.ServerReport{
 			Key:         registrar.Key{Service: r.Service, InstanceID: r.InstanceId},
 			Incarnation: r.Incarnation,
 			Faults:      int(min(r.Faults, maxReportedFaults)),
 		})
 	}
-	s.picker.ObserveFaults(out)
+	s.picker.ObserveReports(out)
 }
 
 func (s *Routed) recordFaulty(e picker.FaultyServer) {
