Backend servers get no more requests than the limits that they name

What callers saw: while servers in need named limits, entries sent them as many requests as before; lookups came late instead of going elsewhere or being refused (LIMIT).

Class: a signal of a backend server about all entries together, to which each entry would have to react without knowing what the others send.

Change: as many entries as the server takes requests a second send to it, chosen by a hash over the entries that control lists, each its part of the limit from a bucket of two; the others send nothing. Limits and their ends spread with the reports on servers through control. What fits nowhere is refused at once, and less urgent calls leave a token to more urgent ones. Limited servers are not probed for their load.

Why it holds: 4 s bring at most four times the limit and two for each sender, and there is one sender for each request a second; allowed are six times the limit and five.

--- a/peridot-control/deliverer/renewer.go
+++ b/peridot-control/deliverer/renewer.go
@@ -191,7 +191,7 @@
 	if err = d.recordSuspects(ctx, req.Suspects); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
-	d.reports.publish(req.ServerReports, d.cfg.Now())
+	d.reports.publishNew(req.ServerReports, d.cfg.Now())
 	reports, reportsVersion := d.reports.since(listVersion(req.ServerReportsVersion), d.cfg.Now())
 	reply := &delivererpb.RenewReply{Commit: commit, EntriesVersion: uint64(d.table.currentVersion()), ServerReports: reports, ServerReportsVersion: uint64(reportsVersion), RenewsServers: true}
 	if req.AcceptsDeltas {
--- a/peridot-control/deliverer/reports.go
+++ b/peridot-control/deliverer/reports.go
@@ -1,6 +1,7 @@
 package deliverer
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -12,6 +13,8 @@
 	reportAge = 3 * time.Second
 	// maxServerReports limits the reports that are kept to be passed on, and those that wait for the leader.
 	maxServerReports = 4096
+	// limitInterval is the least interval at which an unchanged limit of a server is passed on.
+	limitInterval = 3 * time.Second
 	// reportRenewInterval is the interval between renewals while there are reports to send or the leader has sent some.
 	reportRenewInterval = 150 * time.Millisecond
 )
@@ -21,7 +24,9 @@
 type reportLog struct {
 	mu sync.Mutex
 	// pending holds the reports that the leader has not received.
-	pending map[reportedServer]uint32
+	pending map[reportedServer]*delivererpb.ServerReport
+	// limits holds the limits of servers that were published last; only the leader uses it.
+	limits map[reportedServer]publishedLimit
 	// reports are the newest reports. last is the version of the newest one; versions are consecutive.
 	reports []timedReport
 	last    listVersion
@@ -37,13 +42,22 @@
 	incarnation         uint64
 }
 
+// publishedLimit is a server's limit and when it was last published.
+type publishedLimit struct {
+	limited   bool
+	perSecond float64
+	at        time.Time
+}
+
 type timedReport struct {
 	report *delivererpb.ServerReport
 	at     time.Time
 }
 
 func newReportLog() *reportLog {
-	return &reportLog{pending: make(map[reportedServer]uint32), last: newListVersion()}
+	return &reportLog{
+		pending: make(map[reportedServer]*delivererpb.ServerReport), limits: make(map[reportedServer]publishedLimit), last: newListVersion(),
+	}
 }
 
 // add queues the reports of an entry for the leader.
@@ -55,8 +69,17 @@
 	defer l.mu.Unlock()
 	for _, r := range reports {
 		s := reportedServer{r.Service, r.InstanceId, r.Incarnation}
-		if l.pending[s] > 0 || len(l.pending) < maxServerReports {
-			l.pending[s] += r.Faults
+		p := l.pending[s]
+		if p == nil && len(l.pending) < maxServerReports {
+			p = &delivererpb.ServerReport{Service: r.Service, InstanceId: r.InstanceId, Incarnation: r.Incarnation}
+			l.pending[s] = p
+		}
+		if p == nil {
+			continue
+		}
+		p.Faults += r.Faults
+		if r.RateLimit != nil {
+			p.RateLimit = r.RateLimit
 		}
 	}
 }
@@ -65,13 +88,43 @@
 func (l *reportLog) takePending() (reports []*delivererpb.ServerReport) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for s, n := range l.pending {
-		reports = append(reports, &delivererpb.ServerReport{Service: s.service, InstanceId: s.instanceID, Incarnation: s.incarnation, Faults: n})
+	for _, r := range l.pending {
+		reports = append(reports, r)
 	}
 	clear(l.pending)
 	return reports
 }
 
+// publishNew publishes reports that were made to the leader, without the limits that several entries report.
+func (l *reportLog) publishNew(reports []*delivererpb.ServerReport, now time.Time) {
+	l.mu.Lock()
+	kept := make([]*delivererpb.ServerReport, 0, len(reports))
+	for _, r := range reports {
+		isNew := r.RateLimit != nil && l.recordLimit(reportedServer{r.Service, r.InstanceId, r.Incarnation}, r.RateLimit, now)
+		switch {
+		case r.RateLimit == nil || isNew:
+			kept = append(kept, r)
+		case r.Faults > 0:
+			kept = append(kept, &delivererpb.ServerReport{Service: r.Service, InstanceId: r.InstanceId, Incarnation: r.Incarnation, Faults: r.Faults})
+		}
+	}
+	l.mu.Unlock()
+	l.publish(kept, now)
+}
+
+// recordLimit reports whether a limit has to be published: it has changed, or was last published limitInterval ago. The caller holds mu.
+func (l *reportLog) recordLimit(s reportedServer, r *delivererpb.RateLimit, now time.Time) bool {
+	old, known := l.limits[s]
+	if known && old.limited == r.Limited && old.perSecond == r.PerSecond && now.Sub(old.at) < limitInterval {
+		return false
+	}
+	if !known && len(l.limits) >= maxServerReports {
+		maps.DeleteFunc(l.limits, func(_ reportedServer, p publishedLimit) bool { return now.Sub(p.at) >= limitInterval })
+	}
+	l.limits[s] = publishedLimit{r.Limited, r.PerSecond, now}
+	return true
+}
+
 // publish adds reports to those that are passed on.
 func (l *reportLog) publish(reports []*delivererpb.ServerReport, now time.Time) {
 	l.mu.Lock()
--- a/peridot-control/deliverer/reports_test.go
+++ b/peridot-control/deliverer/reports_test.go
@@ -74,3 +74,43 @@
 		t.Errorf("%d reports and %d pending ones are kept, want at most %d", len(f.reports), len(f.pending), maxServerReports)
 	}
 }
+
+// Every entry that sends to a server reports its limit again and again. The leader must pass it on when it changes, and otherwise only as
+// often as entries need to go on observing it.
+func TestUnchangedLimitsArePassedOnRarely(t *testing.T) {
+	limit := func(limited bool, perSecond float64) *delivererpb.RateLimit {
+		return &delivererpb.RateLimit{Limited: limited, PerSecond: perSecond}
+	}
+	now := time.Unix(1000, 0)
+	l := newReportLog()
+	_, held := l.since(0, now)
+	steps := []struct {
+		name   string
+		wait   time.Duration
+		limit  *delivererpb.RateLimit
+		faults uint32
+		want   int
+		passed bool
+	}{
+		{"the first", 0, limit(true, 2.2), 0, 1, true},
+		{"of another entry", time.Second, limit(true, 2.2), 0, 0, false},
+		{"with faults", 0, limit(true, 2.2), 3, 1, false},
+		{"another limit", 0, limit(true, 2.3), 0, 1, true},
+		{"after a time", limitInterval, limit(true, 2.3), 0, 1, true},
+		{"its end", time.Second, limit(false, 0), 0, 1, true},
+		{"its end again", time.Second, limit(false, 0), 0, 0, false},
+	}
+	for _, step := range steps {
+		now = now.Add(step.wait)
+		l.add([]*delivererpb.ServerReport{{Service: "s", InstanceId: "i", Incarnation: 1, Faults: step.faults, RateLimit: step.limit}})
+		l.publishNew(l.takePending(), now)
+		var reports []*delivererpb.ServerReport
+		reports, held = l.since(held, now)
+		if len(reports) != step.want {
+			t.Fatalf("%s: %d reports, want %d", step.name, len(reports), step.want)
+		}
+		if len(reports) > 0 && (reports[0].Faults != step.faults || (reports[0].RateLimit != nil) != step.passed) {
+			t.Errorf("%s: the report is %v", step.name, reports[0])
+		}
+	}
+}
--- a/peridot-entry/accountant/meter.go
+++ b/peridot-entry/accountant/meter.go
@@ -17,9 +17,10 @@
 	// probes are counters by service and result, refusals by service and cause.
 	probes   map[labelValues]tally.Counter
 	refusals map[labelValues]tally.Counter
-	// faulty and crashes are counters by service.
+	// faulty, crashes and limited are counters by service.
 	faulty  map[string]tally.Counter
 	crashes map[string]tally.Counter
+	limited map[string]tally.Counter
 }
 
 // labelValues are the service label and the value of the other label of a metric: outcome, result or cause.
@@ -44,7 +45,7 @@
 	return &Meter{
 		scope: scope, calls: make(map[labelValues]*callMetrics), probes: make(map[labelValues]tally.Counter),
 		refusals: make(map[labelValues]tally.Counter), faulty: make(map[string]tally.Counter),
-		crashes: make(map[string]tally.Counter),
+		crashes: make(map[string]tally.Counter), limited: make(map[string]tally.Counter),
 	}
 }
 
@@ -77,6 +78,9 @@
 // RecordCrash counts a backend server that crashed with calls of this entry in flight.
 func (m *Meter) RecordCrash(service string) { m.countServer(m.crashes, "server_crashes", service) }
 
+// RecordLimited counts a backend server that has begun to limit requests.
+func (m *Meter) RecordLimited(service string) { m.countServer(m.limited, "limited_servers", service) }
+
 // countServer increments the counter of a service and creates it if needed.
 func (m *Meter) countServer(counters map[string]tally.Counter, name, service string) {
 	m.mu.Lock()
--- a/peridot-entry/dispatcher/dispatcher_test.go
+++ b/peridot-entry/dispatcher/dispatcher_test.go
@@ -457,3 +457,24 @@
 		t.Errorf("error is %+v after %d attempts, want a refusal for 30 s", err, sent.Load())
 	}
 }
+
+// A call beyond the limits of all servers must not wait for a slot that no limit would let it use.
+func TestCallBeyondRateLimitsIsRefusedAtOnce(t *testing.T) {
+	d, sent, _ := newTestDispatcher(respond(200))
+	picks := 0
+	d.cfg.Pick = func(picker.Request) (*picker.Choice, error) {
+		picks++
+		return nil, picker.ErrRateLimited
+	}
+	c := newCall(parser.OncePerSend)
+	c.Rule.Objective = parser.Duration(time.Minute)
+	begin := time.Now()
+	_, err := d.Do(context.Background(), c)
+	var e *Error
+	if !errors.As(err, &e) || e.Outcome != NotRun || e.Status != http.StatusServiceUnavailable || e.RetryAfter <= 0 {
+		t.Errorf("error is %+v, want a refusal with RetryAfter", err)
+	}
+	if took := time.Since(begin); picks != 1 || sent.Load() != 0 || took > time.Second || c.Trace.Cause != "servers-limited" {
+		t.Errorf("%d picks and %d attempts in %v, cause %q", picks, sent.Load(), took, c.Trace.Cause)
+	}
+}
--- a/peridot-entry/dispatcher/failure.go
+++ b/peridot-entry/dispatcher/failure.go
@@ -29,7 +29,7 @@
 		return !se.Written
 	}
 	var shed *limiter.ShedError
-	return isContained(err) || errors.Is(err, errShed) || errors.Is(err, picker.ErrNoServer) || errors.Is(err, picker.ErrFull) || errors.As(err, &shed)
+	return isContained(err) || errors.Is(err, errShed) || errors.Is(err, picker.ErrNoServer) || errors.Is(err, picker.ErrFull) || errors.Is(err, picker.ErrRateLimited) || errors.As(err, &shed)
 }
 
 // isContained reports whether the request was refused because requests like it crash backend servers.
@@ -69,6 +69,8 @@
 		return "no-server"
 	case errors.Is(err, picker.ErrFull):
 		return "servers-full"
+	case errors.Is(err, picker.ErrRateLimited):
+		return "servers-limited"
 	}
 	return "no-connection"
 }
@@ -89,7 +91,7 @@
 		e.Status, e.RetryAfter = http.StatusServiceUnavailable, shed.RetryAfter
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		e.Status = http.StatusGatewayTimeout
-	case errors.Is(err, errShed), errors.Is(err, picker.ErrNoServer), errors.Is(err, picker.ErrFull):
+	case errors.Is(err, errShed), errors.Is(err, picker.ErrNoServer), errors.Is(err, picker.ErrFull), errors.Is(err, picker.ErrRateLimited):
 		e.Status, e.RetryAfter = http.StatusServiceUnavailable, x.retryAfterDelay()
 	}
 	return e
--- a/peridot-entry/follower/control.go
+++ b/peridot-entry/follower/control.go
@@ -284,8 +284,7 @@
 	if changed, err := w.entries.apply(reply); err != nil {
 		return err
 	} else if changed {
-		list := w.entries.sorted()
-		f.entries.Store(&list)
+		f.storeEntries(w.entries.sorted())
 	}
 	if len(reply.Control) > 0 {
 		w.controlVersion = reply.ControlVersion
--- a/peridot-entry/follower/follower.go
+++ b/peridot-entry/follower/follower.go
@@ -57,6 +57,8 @@
 	cfg     Config
 	current atomic.Pointer[configuration]
 	entries atomic.Pointer[[]*delivererpb.EntryMember]
+	// servingIDs is derived from entries.
+	servingIDs atomic.Pointer[[]string]
 	// controlExpires and peersExpires are when the last confirmation by control and by the other entries expires.
 	controlExpires atomic.Pointer[time.Time]
 	peersExpires   atomic.Pointer[time.Time]
@@ -88,7 +90,7 @@
 		cfg.ParseRouting = parser.ParseRouting
 	}
 	f := &Follower{cfg: cfg, cancel: cancel, wake: make(chan struct{}, 1), learnedSignal: make(chan struct{}, 1)}
-	f.entries.Store(&[]*delivererpb.EntryMember{})
+	f.storeEntries(nil)
 	f.controlExpires.Store(&time.Time{})
 	f.peersExpires.Store(&time.Time{})
 	if cfg.Dir != "" {
@@ -161,6 +163,22 @@
 // Entries returns the entries that control lists as members.
 func (f *Follower) Entries() []*delivererpb.EntryMember { return *f.entries.Load() }
 
+// ServingIDs returns the instance ids of the entries that control lists as serving callers, in a list that is replaced when it changes.
+func (f *Follower) ServingIDs() []string { return *f.servingIDs.Load() }
+
+func (f *Follower) storeEntries(list []*delivererpb.EntryMember) {
+	ids := make([]string, 0, len(list))
+	for _, m := range list {
+		if m.Synchronised && !m.Stopping {
+			ids = append(ids, m.InstanceId)
+		}
+	}
+	f.entries.Store(&list)
+	if old := f.servingIDs.Load(); old == nil || !slices.Equal(*old, ids) {
+		f.servingIDs.Store(&ids)
+	}
+}
+
 // Handler returns the handler for requests from other entries, to be mounted at Prefix.
 func (f *Follower) Handler() http.Handler { return followerpb.NewPeerServer(f) }
 
--- a/peridot-entry/picker/expected.go
+++ b/peridot-entry/picker/expected.go
@@ -42,7 +42,6 @@
 // pickExpected returns the eligible server that is expected to respond first, or one that is due for a trial call. It returns ErrFull when
 // all servers hold too many calls.
 func (g *group) pickExpected(r *Request, now time.Time) (*server, error) {
-	g.recordRank(r.Rank, now)
 	for _, s := range g.eligible {
 		if s.isTrialDue(now) {
 			return s, nil
@@ -75,7 +74,7 @@
 func (g *group) bestCandidate(r *Request, now time.Time) *server {
 	var candidates []*server
 	for _, s := range g.servers {
-		if contains(r.Candidates, s) && mayTake(s, r) && s.inFlight < s.maxInFlight {
+		if contains(r.Candidates, s) && mayTake(s, r) && s.inFlight < s.maxInFlight && g.mayTakeCall(s, r, now) {
 			candidates = append(candidates, s)
 		}
 	}
@@ -141,9 +140,17 @@
 	return rank < g.leastUrgent && g.now.Sub(g.leastUrgentAt) < rankTimeout
 }
 
-// recordRank keeps track of the least urgent rank in use.
+// hasMoreUrgent reports whether calls more urgent than those of rank have recently used the service.
+func (g *group) hasMoreUrgent(rank int, now time.Time) bool {
+	return rank > g.mostUrgent && now.Sub(g.mostUrgentAt) < rankTimeout
+}
+
+// recordRank keeps track of the least and the most urgent rank in use.
 func (g *group) recordRank(rank int, now time.Time) {
 	g.now = now
+	if rank <= g.mostUrgent || now.Sub(g.mostUrgentAt) >= rankTimeout {
+		g.mostUrgent, g.mostUrgentAt = rank, now
+	}
 	if rank >= g.leastUrgent || now.Sub(g.leastUrgentAt) >= rankTimeout {
 		g.leastUrgent, g.leastUrgentAt = rank, now
 	}
--- a/peridot-entry/picker/faults.go
+++ b/peridot-entry/picker/faults.go
@@ -7,13 +7,17 @@
 	"time"
 
 	"peridotswitch.example/peridot-entry/registrar"
+	"peridotswitch.example/peridot-entry/sender"
 )
 
-// ServerReport counts the faults of one incarnation of a backend server: calls that failed at it or took much longer than usual.
+// ServerReport is what an entry has seen of one incarnation of a backend server.
 type ServerReport struct {
 	Key         registrar.Key
 	Incarnation uint64
-	Faults      int
+	// Faults counts the calls that failed at the server or took much longer than usual.
+	Faults int
+	// RateLimit is the limit that the server names or has ended; nil if there is nothing to report of it.
+	RateLimit *sender.RateLimit
 }
 
 // FaultyServer says why a server is avoided: how many of how many recent calls were faults, as known to this entry.
@@ -129,17 +133,30 @@
 	g.addFaults(c.server, 1, now)
 }
 
-// TakeReports returns the faults that this entry has seen since the last call, which count attempts in flight too.
+// TakeReports returns what this entry has seen of servers since the last call: faults, which count attempts in flight too, and limits.
 func (p *Picker) TakeReports() (reports []ServerReport) {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
+	now := p.cfg.Now()
 	for _, g := range p.services {
-		reports = append(reports, g.takeReports(p.cfg.Now())...)
+		reports = append(reports, g.takeReports(now)...)
 	}
-	if len(reports) > maxFaultyServers || p.cfg.Now().Sub(p.startedAt) < settleTime {
-		return nil
+	faulty := 0
+	for i := range reports {
+		if reports[i].Faults > 0 {
+			faulty++
+		}
 	}
-	return reports
+	if faulty <= maxFaultyServers && now.Sub(p.startedAt) >= settleTime {
+		return reports
+	}
+	kept := reports[:0]
+	for _, r := range reports {
+		if r.Faults = 0; r.RateLimit != nil {
+			kept = append(kept, r)
+		}
+	}
+	return kept
 }
 
 func (g *group) takeReports(now time.Time) (reports []ServerReport) {
@@ -149,16 +166,20 @@
 		for c := s.first; c != nil && g.isStalled(c, now.Sub(c.begin)); c = c.next {
 			g.recordFault(c, now)
 		}
-		if s.unreported > 0 {
-			reports = append(reports, ServerReport{s.announced.Key(), s.announced.Incarnation, s.unreported})
-			s.reported += s.unreported
-			s.unreported = 0
+		r := ServerReport{Key: s.announced.Key(), Incarnation: s.announced.Incarnation, Faults: s.unreported}
+		s.reported += s.unreported
+		s.unreported = 0
+		if limit, ok := s.rateLimit.take(now); ok {
+			r.RateLimit = &limit
+		}
+		if r.Faults > 0 || r.RateLimit != nil {
+			reports = append(reports, r)
 		}
 	}
 	return reports
 }
 
-// ObserveReports records the faults that all entries have reported, this one included.
+// ObserveReports records what all entries have reported, this one included.
 func (p *Picker) ObserveReports(reports []ServerReport) {
 	for _, r := range reports {
 		g := p.group(r.Key.Service)
@@ -172,6 +193,9 @@
 			if r.Faults > own {
 				g.addFaults(s, r.Faults-own, p.cfg.Now())
 			}
+			if r.RateLimit != nil {
+				g.setRateLimit(s, *r.RateLimit, true, p.cfg.Now())
+			}
 		}
 		g.mu.Unlock()
 	}
--- a/peridot-entry/picker/group.go
+++ b/peridot-entry/picker/group.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"peridotswitch.example/peridot-entry/registrar"
-	"peridotswitch.example/peridot-entry/sender"
 )
 
 const (
@@ -52,7 +51,10 @@
 	entries  func() int
 	onFaulty func(FaultyServer)
 	// onRateLimit is Config.OnRateLimit.
-	onRateLimit func(registrar.Key, sender.RateLimit)
+	onRateLimit func(RateLimitChange)
+	// self is this entry's id, and members is Config.Members.
+	self    string
+	members func() []string
 	// startedAt is when this entry started.
 	startedAt time.Time
 	// view is the registrar's list that servers was made from.
@@ -76,6 +78,9 @@
 	// leastUrgent is the least urgent rank among the calls that use the service, as of leastUrgentAt.
 	leastUrgent   int
 	leastUrgentAt time.Time
+	// mostUrgent is the most urgent rank among them, as of mostUrgentAt.
+	mostUrgent   int
+	mostUrgentAt time.Time
 	// recent holds the latest latencies of responses, divided by the expected slowdown, in a ring; recentCount counts all of them.
 	recent      [recentLatencies]float64
 	recentCount int
@@ -97,7 +102,7 @@
 }
 
 func newGroup(cfg Config, startedAt time.Time) *group {
-	return &group{policy: cfg.Policy, startedAt: startedAt, entries: cfg.Entries, onFaulty: cfg.OnFaulty, onRateLimit: cfg.OnRateLimit, known: make(map[identity]*server), turn: rand.IntN(math.MaxInt32)}
+	return &group{policy: cfg.Policy, startedAt: startedAt, entries: cfg.Entries, onFaulty: cfg.OnFaulty, onRateLimit: cfg.OnRateLimit, self: cfg.InstanceID, members: cfg.Members, known: make(map[identity]*server), turn: rand.IntN(math.MaxInt32)}
 }
 
 // update takes over the registrar's list of servers. The registrar makes a new list on each change, so one at the same address is the
@@ -172,12 +177,18 @@
 // pick chooses one of the servers that may take the call.
 func (g *group) pick(r *Request, now time.Time) (*server, error) {
 	g.updateMeans(now)
-	full := g.collectEligible(r, now)
-	if len(g.eligible) == 0 && !full {
-		return nil, ErrNoServer
+	if g.policy == Expected {
+		g.recordRank(r.Rank, now)
 	}
-	if len(g.eligible) == 0 {
+	full := g.collectEligible(r, now)
+	switch {
+	case len(g.eligible) > 0:
+	case full:
 		return nil, ErrFull
+	case g.hasLimited(r, now):
+		return nil, ErrRateLimited
+	default:
+		return nil, ErrNoServer
 	}
 	switch g.policy {
 	case Random:
@@ -228,7 +239,7 @@
 		if n == limit {
 			break
 		}
-		if !mayTake(s, r) || !faulty && g.isAvoided(s, now) {
+		if !mayTake(s, r) || !faulty && g.isAvoided(s, now) || !g.mayTakeCall(s, r, now) {
 			continue
 		}
 		if s.inFlight >= s.maxInFlight || r.Deferrable && g.load(s, now) > float64(s.announced.Slots)-reservedSlots {
--- a/peridot-entry/picker/picker.go
+++ b/peridot-entry/picker/picker.go
@@ -19,6 +19,9 @@
 // ErrOnlyFaulty is the ErrFull of a request that excludes faulty servers, some of which might have room.
 var ErrOnlyFaulty = errors.WithMessage(ErrFull, "only faulty servers may have room")
 
+// ErrRateLimited is returned when all servers that might take the call limit requests and have had as many as they take.
+var ErrRateLimited = errors.New("every backend server has had as many calls as it takes")
+
 // Request describes an attempt that needs a backend server.
 type Request struct {
 	Service string
@@ -94,11 +97,14 @@
 	MaxInFlight func(connections int) int
 	// Entries returns how many entries share the servers, this one included; nil for 1.
 	Entries func() int
+	// Members returns the instance ids of the entries that share the servers, in a list that is replaced when it changes; empty while they
+	// are not known. nil for this entry alone.
+	Members func() []string
 	// OnFaulty is called when one of the servers that this entry sends calls to becomes faulty; it must not block; nil for no call.
 	OnFaulty func(FaultyServer)
-	// OnRateLimit is called when a response shows that a server limits requests, limits them differently or no longer does; it must not
-	// block; nil for no call.
-	OnRateLimit func(registrar.Key, sender.RateLimit)
+	// OnRateLimit is called when this entry learns that a server has begun to limit requests, limits them differently or no longer does; it
+	// must not block; nil for no call.
+	OnRateLimit func(RateLimitChange)
 	// Policy defaults to Corrected.
 	Policy Policy
 	Now    func() time.Time
@@ -123,13 +129,17 @@
 	if cfg.MaxInFlight == nil {
 		cfg.MaxInFlight = func(connections int) int { return connections }
 	}
+	if cfg.Members == nil {
+		alone := []string{cfg.InstanceID}
+		cfg.Members = func() []string { return alone }
+	}
 	if cfg.Entries == nil {
 		cfg.Entries = func() int { return 1 }
 	}
 	return &Picker{cfg: cfg, startedAt: cfg.Now(), services: make(map[string]*group)}
 }
 
-// Pick chooses a backend server for an attempt. It returns ErrNoServer or ErrFull when there is none.
+// Pick chooses a backend server for an attempt. It returns ErrNoServer, ErrFull or ErrRateLimited when there is none.
 func (p *Picker) Pick(r Request) (*Choice, error) {
 	servers := p.cfg.Servers(r.Service)
 	if len(servers) == 0 {
@@ -149,12 +159,16 @@
 	}
 	c := &Choice{Server: s.announced, group: g, server: s, begin: now, slowdown: g.expectedSlowdown(s, now), now: p.cfg.Now}
 	s.add(c)
+	if s.rateLimit.isLimited(now) {
+		s.rateLimit.tokens--
+	}
 	g.calls.add(1, now)
 	return c, nil
 }
 
 // Candidates returns up to n random servers that may take the call, and as stale those of them whose last load report is older than
-// maxAge. Unreachable servers whose ejection time has passed are added to stale, so that they are probed again.
+// maxAge. A server that limits requests is not probed for its load. Unreachable servers whose ejection time has passed are added to stale,
+// so that they are probed again.
 func (p *Picker) Candidates(r Request, n int, maxAge time.Duration) (stale []registrar.Server, all []registrar.Key) {
 	servers := p.cfg.Servers(r.Service)
 	if len(servers) == 0 {
@@ -169,12 +183,12 @@
 	g.collectEligible(&r, now)
 	for _, s := range g.sample(n) {
 		all = append(all, s.announced.Key())
-		if now.Sub(s.reportedAt) > maxAge {
+		if now.Sub(s.reportedAt) > maxAge && !s.rateLimit.isLimited(now) {
 			stale = append(stale, s.announced)
 		}
 	}
 	for _, s := range g.servers {
-		if s.unreachable && !now.Before(s.ejectedUntil) {
+		if s.unreachable && !now.Before(s.ejectedUntil) && s.isProbeable(now) {
 			s.eject(now)
 			stale = append(stale, s.announced)
 		}
--- a/peridot-entry/picker/ratelimit_test.go
+++ b/peridot-entry/picker/ratelimit_test.go
@@ -1,6 +1,8 @@
 package picker
 
 import (
+	"fmt"
+	"math"
 	"net/http"
 	"testing"
 	"time"
@@ -42,7 +44,7 @@
 			var got sender.RateLimit
 			p := New(Config{
 				Policy: Expected, Now: func() time.Time { return now }, Servers: func(string) []registrar.Server { return servers },
-				OnRateLimit: func(_ registrar.Key, limit sender.RateLimit) { got = limit },
+				OnRateLimit: func(c RateLimitChange) { got = c.Limit },
 			})
 			pick := func() *Choice {
 				c, err := p.Pick(Request{Service: "s"})
@@ -113,18 +115,26 @@
 		"a limit near the load, 16 entries":              {16, 10, 10, 12, 150},
 		"a zone of a large deployment":                   {90, 60, 20, 2.2, 300},
 		"all servers of a zone of a large deployment":    {90, 60, 60, 2.2, 300},
+		"a large deployment":                             {449, 60, 20, 2.2, 300},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(5) {
+				if tt.entries > simEntries && seed > 0 {
+					break
+				}
 				s := newSimOf(seed, Expected, tt.entries, tt.servers)
 				s.after(3*time.Second, func() {
 					for i := range tt.limited {
 						s.setLimit(i, tt.perSecond)
 					}
 				})
+				s.shareFaults(reportInterval, reportDelay)
 				s.startCalls(steady(tt.rate), 15*time.Second)
 				s.run(20 * time.Second)
+				if got := s.share(8, 15); tt.limited <= tt.servers/2 && got < objectiveShare {
+					t.Errorf("seed %d: %.3f of the calls met their objective at the servers without a limit, want at least %.2f", seed, got, objectiveShare)
+				}
 				for i, srv := range s.servers[:tt.limited] {
 					if n := srv.excess(); n > 0 {
 						t.Errorf("seed %d: server %d got %.0f calls more than it may in %v", seed, i, n, limitWindow)
@@ -134,3 +144,135 @@
 		})
 	}
 }
+
+// Guards against limits that outlast the need: once a server names none, all entries must send to it again.
+func TestCallsReturnWhenALimitEnds(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSim(seed, Expected)
+		s.after(2*time.Second, func() { s.setLimit(0, 2.2) })
+		s.after(8*time.Second, func() { s.servers[0].rateLimit = sender.RateLimit{} })
+		s.shareFaults(reportInterval, reportDelay)
+		var before int
+		s.after(12*time.Second, func() { before = s.servers[0].calls })
+		const rate = 100
+		s.startCalls(steady(rate), 16*time.Second)
+		s.run(20 * time.Second)
+		if got, want := s.servers[0].calls-before, 4*rate/simServers/2; got < want {
+			t.Errorf("seed %d: %d calls in the 4 s from 4 s after the end of the limit, want at least %d", seed, got, want)
+		}
+	}
+}
+
+// The entries that may send to a server must take what it takes, no more, and as few of them as possible must change when one leaves.
+func TestSharesAddUpToTheLimit(t *testing.T) {
+	tests := map[string]struct {
+		entries   int
+		perSecond float64
+		senders   int
+	}{
+		"16 entries":                     {16, 2.2, 3},
+		"449 entries":                    {449, 2.2, 3},
+		"less than one in a second":      {16, 0.3, 1},
+		"more than one for each entry":   {16, 40, 16},
+		"this entry alone":               {1, 2.2, 1},
+		"as many in a second as entries": {14, 14, 14},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var ids []string
+			for i := range tt.entries {
+				ids = append(ids, fmt.Sprint("front-", i))
+			}
+			for i := range 50 {
+				server := fmt.Sprint("i-", i)
+				sum, senders, moved := 0.0, 0, 0
+				for _, id := range ids {
+					share := shareOf(tt.perSecond, server, id, ids)
+					sum += share
+					if share > 0 {
+						senders++
+					}
+					if (share > 0) != (shareOf(tt.perSecond, server, id, ids[:max(len(ids)-1, 1)]) > 0) {
+						moved++
+					}
+				}
+				if math.Abs(sum-tt.perSecond) > 1e-9 || senders != tt.senders {
+					t.Fatalf("%s: %d entries send %.3f calls a second, want %d and %.3f", server, senders, sum, tt.senders, tt.perSecond)
+				}
+				if moved > 2 {
+					t.Errorf("%s: %d entries begin or cease to send when one leaves, want two at most", server, moved)
+				}
+			}
+		})
+	}
+	if got := shareOf(2.2, "i-1", "unlisted", []string{"front-1", "front-2"}); got != 0 {
+		t.Errorf("an entry that isn't listed has a share of %v, want none", got)
+	}
+}
+
+// newLimitedServer returns a picker that alone sends to one server, which names a limit at the time that now holds.
+func newLimitedServer(t *testing.T, perSecond float64) (p *Picker, now *time.Time) {
+	t.Helper()
+	at := time.Unix(1000, 0)
+	servers := []registrar.Server{{Service: "s", InstanceID: "a", Slots: 60, Connections: 1000, State: registrar.Ready}}
+	p = New(Config{Policy: Expected, Now: func() time.Time { return at }, Servers: func(string) []registrar.Server { return servers }})
+	c, err := p.Pick(Request{Service: "s", Rank: 9})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Done(Result{Status: http.StatusOK, RateLimit: sender.RateLimit{PerSecond: perSecond, Named: true}})
+	return p, &at
+}
+
+// What a server doesn't take must be refused as such, not as if a slot might become free in a moment, and not be probed for.
+func TestCallsBeyondTheLimitAreRefused(t *testing.T) {
+	p, now := newLimitedServer(t, 1)
+	if _, err := p.Pick(Request{Service: "s"}); !errors.Is(err, ErrRateLimited) || errors.Is(err, ErrFull) {
+		t.Errorf("error is %v, want ErrRateLimited", err)
+	}
+	*now = now.Add(time.Second)
+	if stale, all := p.Candidates(Request{Service: "s"}, 2, 0); len(stale) > 0 || len(all) != 1 {
+		t.Errorf("%d servers are probed and %d may be picked, want none and one", len(stale), len(all))
+	}
+	if _, err := p.Pick(Request{Service: "s"}); err != nil {
+		t.Errorf("error is %v a second later", err)
+	}
+	*now = now.Add(limitHold)
+	for range 2 * maxTokens {
+		if _, err := p.Pick(Request{Service: "s"}); err != nil {
+			t.Errorf("error is %v after a limit that nothing confirms has expired", err)
+		}
+	}
+}
+
+// Less urgent calls must not take what a server takes away from more urgent ones.
+func TestLimitsKeepATokenForUrgentCalls(t *testing.T) {
+	p, now := newLimitedServer(t, 1)
+	*now = now.Add(time.Second)
+	if _, err := p.Pick(Request{Service: "s", Rank: 1}); err != nil {
+		t.Fatal(err)
+	}
+	*now = now.Add(time.Second)
+	if _, err := p.Pick(Request{Service: "s", Rank: 2}); !errors.Is(err, ErrRateLimited) {
+		t.Errorf("error is %v for the less urgent call, want ErrRateLimited", err)
+	}
+	if _, err := p.Pick(Request{Service: "s", Rank: 1}); err != nil {
+		t.Errorf("error is %v for the urgent call", err)
+	}
+}
+
+// A server that takes nothing must be tried now and then, or nobody would learn that it takes calls again.
+func TestServerThatTakesNothingIsTried(t *testing.T) {
+	p, now := newLimitedServer(t, 0)
+	calls := 0
+	for range 100 {
+		*now = now.Add(time.Second / 5)
+		if c, err := p.Pick(Request{Service: "s"}); err == nil {
+			calls++
+			c.Done(Result{Status: http.StatusOK, RateLimit: sender.RateLimit{Named: true}})
+		}
+	}
+	if calls == 0 || calls > 4 {
+		t.Errorf("%d calls in 20 s, want 1 to 4", calls)
+	}
+}
--- a/peridot-entry/picker/server.go
+++ b/peridot-entry/picker/server.go
@@ -67,9 +67,7 @@
 	faultyUntil time.Time
 	// unreported is the number of own faults to report to other entries, reported that of those which come back in their reports.
 	unreported, reported int
-	// rateLimit is the limit that the server named last, learned at limitedAt.
-	rateLimit sender.RateLimit
-	limitedAt time.Time
+	rateLimit            rateLimit
 	// trials is the number of trial calls in flight, which find out whether an ejected server has recovered.
 	trials int
 }
--- a/peridot-entry/picker/sim_test.go
+++ b/peridot-entry/picker/sim_test.go
@@ -110,12 +110,17 @@
 	for i := range servers {
 		s.add(fmt.Sprint("s", i), s.begin.Add(-time.Hour))
 	}
+	var ids []string
+	for i := range entries {
+		ids = append(ids, fmt.Sprint("e", i))
+	}
 	for i := range entries {
 		s.entries = append(s.entries, New(Config{
-			InstanceID: fmt.Sprint("e", i), AvailabilityZone: "a", Policy: policy,
+			InstanceID: ids[i], AvailabilityZone: "a", Policy: policy,
 			Servers: func(string) []registrar.Server { return s.table },
 			Now:     func() time.Time { return s.now },
 			Entries: func() int { return entries },
+			Members: func() []string { return ids },
 		}))
 	}
 	return s
--- a/peridot-entry/scout/scout.go
+++ b/peridot-entry/scout/scout.go
@@ -25,6 +25,8 @@
 	Send       func(context.Context, *sender.Request) (*sender.Response, error)
 	// Observe records a load report.
 	Observe func(registrar.Key, sender.Load)
+	// OnRateLimit is called with the limit that a server named in its response to a probe; may be nil.
+	OnRateLimit func(registrar.Key, sender.RateLimit)
 	// Budget returns how many probes per second this entry may send to the servers of a service, 0 or less for no limit; nil for no limit
 	// on any service.
 	Budget func(service string) float64
@@ -217,6 +219,9 @@
 		return false
 	}
 	defer res.Body.Close()
+	if s.cfg.OnRateLimit != nil && res.RateLimit.Named {
+		s.cfg.OnRateLimit(server.Key(), res.RateLimit)
+	}
 	// The connection can be reused only after the body has been read to its end.
 	if _, err = io.Copy(io.Discard, res.Body); err != nil {
 		return false
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -101,6 +101,7 @@
 		Policy:           picker.Expected,
 		MaxInFlight:      s.connectionCap,
 		Entries:          s.budgetEntries,
+		Members:          s.servingIDs,
 		OnFaulty:         s.recordFaulty,
 		OnRateLimit:      s.recordRateLimit,
 	})
@@ -144,6 +145,7 @@
 		},
 		Send:          s.sender.Do,
 		Observe:       s.picker.Observe,
+		OnRateLimit:   s.picker.ObserveRateLimit,
 		Budget:        s.probeBudget,
 		HasSuitable:   s.picker.HasSuitable,
 		OnUnreachable: s.picker.MarkUnreachable,
@@ -281,9 +283,13 @@
 
 func encodeServerReports(reports []picker.ServerReport) (out []*delivererpb.ServerReport) {
 	for _, r := range reports {
-		out = append(out, &delivererpb.ServerReport{
+		e := &delivererpb.ServerReport{
 			Service: r.Key.Service, InstanceId: r.Key.InstanceID, Incarnation: r.Incarnation, Faults: uint32(r.Faults),
-		})
+		}
+		if r.RateLimit != nil {
+			e.RateLimit = &delivererpb.RateLimit{Limited: r.RateLimit.Named, PerSecond: r.RateLimit.PerSecond}
+		}
+		out = append(out, e)
 	}
 	return out
 }
@@ -293,11 +299,15 @@
 	<-s.followerSet
 	var out []picker.ServerReport
 	for _, r := range reports {
-		out = append(out, picker.ServerReport{
+		o := picker.ServerReport{
 			Key:         registrar.Key{Service: r.Service, InstanceID: r.InstanceId},
 			Incarnation: r.Incarnation,
 			Faults:      int(min(r.Faults, maxReportedFaults)),
-		})
+		}
+		if r.RateLimit != nil {
+			o.RateLimit = &sender.RateLimit{Named: r.RateLimit.Limited, PerSecond: r.RateLimit.PerSecond}
+		}
+		out = append(out, o)
 	}
 	s.picker.ObserveReports(out)
 }
@@ -308,12 +318,27 @@
 		Dur("for-ms", e.For).Msg("backend server faulty")
 }
 
-func (s *Routed) recordRateLimit(k registrar.Key, limit sender.RateLimit) {
-	event := s.cfg.Log.Info().Str("server", k.InstanceID).Str("service", k.Service)
-	if limit.Named {
-		event = event.Float64("per-second", limit.PerSecond)
+// recordRateLimit logs that a server's limit has changed, and has it reported at once if this entry is the first to learn of it.
+func (s *Routed) recordRateLimit(c picker.RateLimitChange) {
+	event := s.cfg.Log.Info().Str("server", c.Key.InstanceID).Str("service", c.Key.Service)
+	if c.Limit.Named {
+		<-s.followerSet
+		s.stats.meter.RecordLimited(c.Key.Service)
+		event = event.Float64("per-second", c.Limit.PerSecond)
 	}
-	event.Bool("limited", limit.Named).Msg("backend server limits requests")
+	event.Bool("limited", c.Limit.Named).Bool("reported", c.Reported).Msg("backend server limits requests")
+	if !c.Reported {
+		<-s.followerSet
+		s.follower.ReportNow()
+	}
+}
+
+// servingIDs returns the instance ids of the entries that send calls, or none until control has listed them all.
+func (s *Routed) servingIDs() []string {
+	if time.Since(s.startedAt) < memberListDelay {
+		return nil
+	}
+	return s.follower.ServingIDs()
 }
 
 // maxReportedFaults bounds the faults of one report that are believed.
@@ -396,8 +421,8 @@
 
 // budgetEntries returns the number of entries that share a budget, including this one.
 func (s *Routed) budgetEntries() int {
-	n := max(len(s.follower.Entries()), 1)
-	if time.Since(s.startedAt) < memberListDelay {
+	n := len(s.follower.Entries())
+	if n == 0 || time.Since(s.startedAt) < memberListDelay {
 		return max(n, assumedEntries)
 	}
 	return n
