A refusal that a server writes once more no longer refuses a later request

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection; clients were told 'not run' for a request that the server ran, or it ran at a second server.

Here: a refusal names no request id, so that a copy of it, arriving after the next request was written, passed for the response to that one. Three cases of the new spec failed before (a call's refusal, a probe's, that of another server); a copy with a request id was dropped already.

Change: a refusal without a request id is the last response on its connection. Servers of the product's own interface may echo Peridot-Request-Id in refusals to keep it, as the stand-in now does.

Also tested: a response whose head breaks off is an error wherever it breaks off. That passed without a change.

--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -150,7 +150,9 @@
 	if info.InvalidReason != "" && !e.probe {
 		return nil, e.fail(ctx, ReadingBody, errors.New(info.InvalidReason))
 	}
-	if closeDelimited || res.Close || !res.ProtoAtLeast(1, 1) {
+	// A refusal without a request id, written once more, would pass for the response to the next request on its connection.
+	anonymousRefusal := info.Shed && info.RequestID == ""
+	if closeDelimited || anonymousRefusal || res.Close || !res.ProtoAtLeast(1, 1) {
 		e.conn.broken = true
 	}
 	b := &body{exchange: e, ctx: ctx, res: res}
@@ -278,11 +280,16 @@
 
 // ParsePeridotHeaders parses the Peridot-* headers of a response.
 func ParsePeridotHeaders(_ int, h http.Header) HeaderInfo {
-	return HeaderInfo{
+	info := HeaderInfo{
 		Load:     parseLoad(h.Get("Peridot-Load")),
 		Shed:     h.Get("Peridot-Shed") == "true",
 		Draining: h.Get("Peridot-Draining") == "true",
 	}
+	if info.Shed {
+		// Other responses may carry the id of a call that the server made itself.
+		info.RequestID = h.Get("Peridot-Request-Id")
+	}
+	return info
 }
 
 func parseLoad(v string) *Load {
--- a/peridot-entry/sender/header_test.go
+++ b/peridot-entry/sender/header_test.go
@@ -94,3 +94,85 @@
 		Expect(srv.received()[0]).To(ContainSubstring("Host: shop.example\r\n"))
 	})
 })
+
+var _ = Describe("an earlier refusal that is written once more", func() {
+	// Guards against a repeated refusal that is taken for the response to a later request, which the server runs.
+	for name, c := range map[string]struct {
+		refusal string
+		probe   bool
+	}{
+		"of a call, without a request id": {refusal: "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+		"of a call, with its request id":  {refusal: "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: first\r\nContent-Length: 0\r\n\r\n"},
+		"of a probe":                      {refusal: "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", probe: true},
+		"of another server's call":        {refusal: "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"},
+	} {
+		It("does not refuse a later request: "+name, func() {
+			s := New(Config{ParseHeaders: func(status int, h http.Header) HeaderInfo {
+				r := parseTestHeaders(status, h)
+				r.Shed = h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest
+				if r.Shed {
+					r.InvalidReason = ""
+				}
+				return r
+			}})
+			DeferCleanup(s.Close)
+			srv := newTestServer(func(conn net.Conn, n, r int) {
+				if n == 0 && r == 0 {
+					write(conn, c.refusal)
+					return
+				}
+				if n == 0 {
+					// The copy comes first, when the connection is in use again.
+					write(conn, c.refusal)
+				}
+				write(conn, "HTTP/1.1 200 OK\r\nSign: x\r\nId: second\r\nContent-Length: 3\r\n\r\nown")
+			})
+			do := func(id string, probe bool) (*Response, error) {
+				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+				defer cancel()
+				res, err := s.Do(ctx, &Request{Address: srv.address, Method: http.MethodGet, Path: "/item", ID: id, Probe: probe})
+				if err != nil {
+					return nil, err
+				}
+				defer res.Body.Close()
+				_, err = io.ReadAll(res.Body)
+				return res, err
+			}
+			id := "first"
+			if c.probe {
+				id = ""
+			}
+			_, err := do(id, c.probe)
+			Expect(err).NotTo(HaveOccurred())
+			res, err := do("second", false)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(res.Shed).To(BeFalse(), "the server runs the second request")
+			Expect(res.Status).To(Equal(http.StatusOK))
+		})
+	}
+})
+
+var _ = Describe("a response whose head breaks off", func() {
+	// Guards against a part of a head that is taken for a whole response without a body.
+	It("is an error wherever it breaks off, after which the call may have run", func() {
+		const head = "HTTP/1.1 200 OK\r\nSign: x\r\nId: now\r\nContent-Length: 3\r\nBackend-Load: 1,0,6\r\n\r\n"
+		for n := range len(head) {
+			s := New(Config{ParseHeaders: parseTestHeaders, AllowCloseDelimited: true})
+			srv := newTestServer(func(conn net.Conn, _, _ int) {
+				write(conn, head[:n])
+				_ = conn.Close()
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			res, err := s.Do(ctx, &Request{Address: srv.address, Method: http.MethodGet, Path: "/item", ID: "now"})
+			if err == nil {
+				_, err = io.ReadAll(res.Body)
+				res.Body.Close()
+			}
+			cancel()
+			s.Close()
+			var se *Error
+			Expect(errors.As(err, &se)).To(BeTrue(), "broken off after %q: %v", head[:n], err)
+			Expect(se.Written).To(BeTrue())
+		}
+	})
+})
--- a/peridot-fake/faker/faker.go
+++ b/peridot-fake/faker/faker.go
@@ -131,7 +131,7 @@
 	inFlight := f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	if inFlight > int64(f.cfg.Slots+b.Queue) || f.sampler.chance(b.ShedShare) {
-		f.shed(w)
+		f.shed(w, r)
 		return
 	}
 	f.appendLedger(r, body)
@@ -170,10 +170,13 @@
 	}
 }
 
-func (f *Faker) shed(w http.ResponseWriter) {
+func (f *Faker) shed(w http.ResponseWriter, r *http.Request) {
 	f.counters.shed.Add(1)
 	f.writeLoad(w)
 	w.Header().Set("Peridot-Shed", "true")
+	if id := r.Header.Get("Peridot-Request-Id"); id != "" {
+		w.Header().Set("Peridot-Request-Id", id)
+	}
 	http.Error(w, "all slots and the queue are full", http.StatusServiceUnavailable)
 }
 
