--- a/peridot-entry/quarantiner/report_test.go
+++ b/peridot-entry/quarantiner/report_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -17,19 +18,22 @@
 // reporting is an entry that reports to control; its servers respond as respond says.
 type reporting struct {
 	*Quarantiner
-	now     time.Time
+	// seconds is the time.
+	seconds atomic.Int64
 	respond func(*sender.Request) (*sender.Response, error)
 	refused bool
 	dials   int
 }
 
+func (r *reporting) advance(d time.Duration) { r.seconds.Add(int64(d / time.Second)) }
+
 func newReporting() *reporting {
-	r := &reporting{now: time.Unix(1000, 0), refused: true}
+	r := &reporting{refused: true}
 	r.respond = func(*sender.Request) (*sender.Response, error) {
 		return nil, &sender.Error{Phase: sender.Waiting, Written: true, Err: io.EOF}
 	}
 	r.Quarantiner = New(Config{
-		Now:  func() time.Time { return r.now },
+		Now:  func() time.Time { return time.Unix(1000+r.seconds.Load(), 0) },
 		Send: func(_ context.Context, req *sender.Request) (*sender.Response, error) { return r.respond(req) },
 		ConnectionRefused: func(string) bool {
 			r.dials++
@@ -89,7 +93,7 @@
 		r.SetContained(nil)
 		Expect(r.Admit(request("a", "s"))).To(Succeed())
 		r.SetContained(listed)
-		r.now = r.now.Add(DefaultExpiry)
+		r.advance(DefaultExpiry)
 		Expect(r.Admit(request("a", "s"))).To(Succeed())
 	})
 
@@ -118,7 +122,7 @@
 		r.refused = false
 		Expect(r.send(request("a", "s"))).NotTo(Succeed())
 		Expect(r.Reports()).To(BeEmpty())
-		r.now = r.now.Add(time.Second)
+		r.advance(time.Second)
 		r.refused = true
 		Expect(r.send(request("a", "s"))).NotTo(Succeed())
 		Expect(r.Reports()).To(HaveLen(1))
