An entry with many suspects takes over what control lists

Found by reading the containment again: an entry that knew 1,024 suspects of its own, as after a crash of many servers, ignored what control added to the list. The list is bounded by control. The spec failed before.

--- a/peridot-entry/quarantiner/report.go
+++ b/peridot-entry/quarantiner/report.go
@@ -76,9 +76,15 @@
 	listed := make(map[string]bool, len(list))
 	var changed []*suspect
 	for i := range list {
-		listed[list[i].Fingerprint] = true
-		if s := q.getOrAddSuspect(list[i].Fingerprint, list[i].Service, list[i].Method, list[i].Path); s != nil && !s.listed {
-			s.list(list[i].Crashes, now)
+		r := &list[i]
+		listed[r.Fingerprint] = true
+		s := q.suspects[r.Fingerprint]
+		if s == nil {
+			// Control bounds its list, so that maxSuspects doesn't apply.
+			s = q.addSuspect(r.Fingerprint, r.Service, r.Method, r.Path)
+		}
+		if !s.listed {
+			s.list(r.Crashes, now)
 			changed = append(changed, s)
 		}
 	}
--- a/peridot-entry/quarantiner/report_test.go
+++ b/peridot-entry/quarantiner/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -97,6 +98,19 @@
 		Expect(r.Admit(request("a", "s"))).To(Succeed())
 	})
 
+	It("refuses what control lists even if it knows as many suspects as it may", func() {
+		r := newReporting()
+		r.mu.Lock()
+		for i := range maxSuspects {
+			req := request("a", "s")
+			req.Path = fmt.Sprint("/", i)
+			r.addSuspect(Fingerprint(req), "s", req.Method, req.Path)
+		}
+		r.mu.Unlock()
+		r.SetContained([]CrashReport{{Fingerprint: Fingerprint(request("a", "s")), Crashes: []Crash{{"x", 1}, {"y", 1}}}})
+		Expect(r.Admit(request("a", "s"))).To(HaveOccurred())
+	})
+
 	// Guards against a full server whose refusal makes a request that crashes servers look harmless.
 	It("clears a suspect only when a server has run it", func() {
 		r := newReporting()
--- a/peridot-entry/quarantiner/suspect.go
+++ b/peridot-entry/quarantiner/suspect.go
@@ -131,11 +131,15 @@
 
 // getOrAddSuspect returns nil when the fingerprint is new and there are maxSuspects suspects already. The caller holds mu.
 func (q *Quarantiner) getOrAddSuspect(fingerprint, service, method, path string) *suspect {
-	s := q.suspects[fingerprint]
-	if s == nil && len(q.suspects) < maxSuspects {
-		s = &suspect{fingerprint: fingerprint, service: service, method: method, path: path, crashes: make(map[crash]time.Time)}
-		q.suspects[fingerprint] = s
+	if s := q.suspects[fingerprint]; s != nil || len(q.suspects) >= maxSuspects {
+		return s
 	}
+	return q.addSuspect(fingerprint, service, method, path)
+}
+
+func (q *Quarantiner) addSuspect(fingerprint, service, method, path string) *suspect {
+	s := &suspect{fingerprint: fingerprint, service: service, method: method, path: path, crashes: make(map[crash]time.Time)}
+	q.suspects[fingerprint] = s
 	return s
 }
 
