A listed request that goes on crashing servers stays refused at an entry

Found by reading the containment again: once an entry had held a listed request for its full time, the crashes that followed no longer counted there while control still listed it. The later of both ends holds. The spec failed before.

--- a/peridot-entry/quarantiner/report_test.go
+++ b/peridot-entry/quarantiner/report_test.go
@@ -111,6 +111,16 @@
 		Expect(r.Admit(request("a", "s"))).To(HaveOccurred())
 	})
 
+	It("refuses by itself what crashes servers again while control still lists it", func() {
+		r := newReporting()
+		r.SetContained([]CrashReport{{Fingerprint: Fingerprint(request("a", "s"))}})
+		r.advance(DefaultExpiry)
+		for _, server := range []string{"a", "b"} {
+			Expect(r.send(request(server, "s"))).NotTo(Succeed())
+		}
+		Expect(r.Admit(request("c", "s"))).To(HaveOccurred())
+	})
+
 	// Guards against a full server whose refusal makes a request that crashes servers look harmless.
 	It("clears a suspect only when a server has run it", func() {
 		r := newReporting()
--- a/peridot-entry/quarantiner/suspect.go
+++ b/peridot-entry/quarantiner/suspect.go
@@ -75,17 +75,21 @@
 }
 
 // refusedUntil returns when the request stops being refused; a time in the past means that it isn't refused. The caller holds mu.
-func (q *Quarantiner) refusedUntil(s *suspect) time.Time {
+func (q *Quarantiner) refusedUntil(s *suspect) (until time.Time) {
 	if s.listed {
-		return s.listedSince.Add(q.cfg.Expiry)
+		until = s.listedSince.Add(q.cfg.Expiry)
 	}
 	if len(s.crashes) < crashesToContain {
-		return time.Time{}
+		return until
 	}
-	if q.isSoleSuspect(s) {
-		return s.lastChange().Add(q.cfg.Expiry)
+	expiry := q.cfg.Expiry
+	if !q.isSoleSuspect(s) {
+		expiry = min(sharedExpiry, expiry)
 	}
-	return s.lastChange().Add(min(sharedExpiry, q.cfg.Expiry))
+	if own := s.lastChange().Add(expiry); own.After(until) {
+		until = own
+	}
+	return until
 }
 
 // isSoleSuspect reports whether no other request was in flight in crashesToContain of the same crashes. The caller holds mu.
