Renewals no longer wait for changes of the list of contained requests

Found by reading the containment again: the leader committed a change of the list before it answered the renewal that reported a crash. With a slow or full disk renewals would have failed, members counted as isolated and entries turned away from them. Class: a frequent exchange made to depend on a rare write. The change is now proposed in the background and again with the next renewals until it is committed.

The leader looks only at the requests with enough crashes.

--- a/peridot-control/deliverer/deliverer.go
+++ b/peridot-control/deliverer/deliverer.go
@@ -140,8 +140,8 @@
 	reports           *reportLog
 	suspects          suspectQueue
 	quarantiner       *quarantiner.Quarantiner
-	// releasing is set while a command that releases requests is in progress.
-	releasing atomic.Bool
+	// updatingQuarantine is set while a command that changes the list of contained requests is in progress.
+	updatingQuarantine atomic.Bool
 }
 
 type queuedEntry struct {
--- a/peridot-control/deliverer/quarantine.go
+++ b/peridot-control/deliverer/quarantine.go
@@ -43,43 +43,41 @@
 	q.queue = reports[:min(len(reports), maxQueuedSuspects)]
 }
 
-// recordSuspects counts reported crashes on the leader and commits what follows for the list of contained requests.
-func (d *Deliverer) recordSuspects(ctx context.Context, reports []*delivererpb.Suspect) error {
+// recordSuspects counts reported crashes on the leader.
+func (d *Deliverer) recordSuspects(reports []*delivererpb.Suspect) {
 	if len(reports) == 0 {
-		return nil
+		return
 	}
 	list := make([]quarantiner.Report, 0, len(reports))
 	for _, s := range reports {
 		list = append(list, quarantiner.Report{ContainedRequest: decodeSuspect(s), Cleared: s.Cleared})
 	}
 	d.quarantiner.Record(list)
-	return d.proposeQuarantine(ctx)
+	d.updateQuarantine()
 }
 
-// releaseExpired proposes to release the requests that have been contained for long enough.
-func (d *Deliverer) releaseExpired() {
+// updateQuarantine commits the difference between what the leader has counted and the list of contained requests, if there is one. It doesn't
+// wait for that, because renewals must not depend on the disk.
+func (d *Deliverer) updateQuarantine() {
 	held := d.cfg.Quarantine()
-	if len(held.Requests) == 0 || d.quarantiner.Change(&held) == nil || !d.releasing.CompareAndSwap(false, true) {
+	if !d.updatingQuarantine.CompareAndSwap(false, true) {
+		return
+	}
+	c := d.quarantiner.Change(&held)
+	if c == nil {
+		d.updatingQuarantine.Store(false)
 		return
 	}
 	d.wg.Go(func() {
-		defer d.releasing.Store(false)
+		defer d.updatingQuarantine.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 		defer cancel()
-		if err := d.proposeQuarantine(ctx); err != nil {
-			d.cfg.Log.Warn().Err(err).Msg("failed to release contained requests")
-		}
+		_, err := d.cfg.Propose(ctx, arbiter.Command{Quarantine: c})
+		d.logQuarantineChange(c, err)
 	})
 }
 
-// proposeQuarantine commits the difference between what the leader has counted and the list of contained requests, if there is one.
-func (d *Deliverer) proposeQuarantine(ctx context.Context) error {
-	held := d.cfg.Quarantine()
-	c := d.quarantiner.Change(&held)
-	if c == nil {
-		return nil
-	}
-	_, err := d.cfg.Propose(ctx, arbiter.Command{Quarantine: c})
+func (d *Deliverer) logQuarantineChange(c *arbiter.QuarantineChange, err error) {
 	for i := range c.Contained {
 		r := &c.Contained[i]
 		d.cfg.Log.Warn().Str("fingerprint", r.Fingerprint).Str("service", r.Service).Str("method", r.Method).Str("path", r.Path).
@@ -88,7 +86,6 @@
 	for _, fingerprint := range c.Released {
 		d.cfg.Log.Warn().Str("fingerprint", fingerprint).Err(err).Bool("held", err == nil).Msg("request released")
 	}
-	return err
 }
 
 // addContained adds the contained requests if the list is newer than the one that the entry holds.
--- a/peridot-control/deliverer/renewer.go
+++ b/peridot-control/deliverer/renewer.go
@@ -128,7 +128,7 @@
 	}
 	if self {
 		d.expireServers()
-		d.releaseExpired()
+		d.updateQuarantine()
 	}
 	if address == "" {
 		return errNoLeader
@@ -188,9 +188,7 @@
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
 	d.serverLeases.renew(req.RenewedServers, d.cfg.Now())
-	if err = d.recordSuspects(ctx, req.Suspects); err != nil {
-		return nil, twirp.NewError(twirp.Unavailable, err.Error())
-	}
+	d.recordSuspects(req.Suspects)
 	d.reports.publishNew(req.ServerReports, d.cfg.Now())
 	reports, reportsVersion := d.reports.since(listVersion(req.ServerReportsVersion), d.cfg.Now())
 	reply := &delivererpb.RenewReply{Commit: commit, EntriesVersion: uint64(d.table.currentVersion()), ServerReports: reports, ServerReportsVersion: uint64(reportsVersion), RenewsServers: true}
--- a/peridot-control/quarantiner/quarantiner.go
+++ b/peridot-control/quarantiner/quarantiner.go
@@ -39,8 +39,8 @@
 type Quarantiner struct {
 	cfg Config
 	mu  sync.Mutex
-	// suspects are keyed by fingerprint.
-	suspects map[string]*suspect
+	// suspects are keyed by fingerprint. accused are those with enough crashes to be contained.
+	suspects, accused map[string]*suspect
 	// containedSince is when this member first knew of each contained request, which it may have inherited from another leader.
 	containedSince map[string]time.Time
 	// cleared holds the contained requests that a server has run.
@@ -56,7 +56,10 @@
 
 // New returns a Quarantiner.
 func New(cfg Config) *Quarantiner {
-	return &Quarantiner{cfg: cfg, suspects: make(map[string]*suspect), containedSince: make(map[string]time.Time), cleared: make(map[string]bool)}
+	return &Quarantiner{
+		cfg: cfg, suspects: make(map[string]*suspect), accused: make(map[string]*suspect),
+		containedSince: make(map[string]time.Time), cleared: make(map[string]bool),
+	}
 }
 
 // Record counts the crashes of reports. A crash that several entries report counts once.
@@ -67,7 +70,7 @@
 	for i := range reports {
 		r := &reports[i]
 		if r.Cleared {
-			delete(q.suspects, r.Fingerprint)
+			q.drop(r.Fingerprint)
 			q.cleared[r.Fingerprint] = true
 		}
 		if len(r.Crashes) == 0 {
@@ -75,6 +78,7 @@
 		}
 		s := q.suspects[r.Fingerprint]
 		if s == nil || now.Sub(s.lastCrash) > Expiry {
+			q.drop(r.Fingerprint)
 			q.dropOldest()
 			s = &suspect{request: r.ContainedRequest, crashes: make(map[arbiter.Crash]bool)}
 			q.suspects[r.Fingerprint] = s
@@ -86,6 +90,7 @@
 			}
 		}
 		if len(s.crashes) >= crashesToContain {
+			q.accused[r.Fingerprint] = s
 			delete(q.cleared, r.Fingerprint)
 		}
 	}
@@ -98,10 +103,15 @@
 	}
 	list := slices.SortedFunc(maps.Values(q.suspects), func(a, b *suspect) int { return a.lastCrash.Compare(b.lastCrash) })
 	for _, s := range list[:maxSuspects/8] {
-		delete(q.suspects, s.request.Fingerprint)
+		q.drop(s.request.Fingerprint)
 	}
 }
 
+func (q *Quarantiner) drop(fingerprint string) {
+	delete(q.suspects, fingerprint)
+	delete(q.accused, fingerprint)
+}
+
 // Change returns how the list of contained requests has to change, or nil if it hasn't.
 func (q *Quarantiner) Change(held *arbiter.Quarantine) *arbiter.QuarantineChange {
 	q.mu.Lock()
@@ -129,8 +139,8 @@
 			delete(q.cleared, f)
 		}
 	}
-	for f, s := range q.suspects {
-		if !isHeld[f] && len(s.crashes) >= crashesToContain && now.Before(q.end(f)) {
+	for f, s := range q.accused {
+		if !isHeld[f] && now.Before(q.end(f)) {
 			c.Contained = append(c.Contained, s.contained())
 		}
 	}
@@ -154,7 +164,7 @@
 
 // isOnlySuspect reports whether no other request was in flight in all crashes of s. The caller holds mu.
 func (q *Quarantiner) isOnlySuspect(s *suspect) bool {
-	for _, other := range q.suspects {
+	for _, other := range q.accused {
 		if other == s || len(other.crashes) < len(s.crashes) {
 			continue
 		}
