--- a/peridot-entry/picker/group.go
+++ b/peridot-entry/picker/group.go
@@ -239,7 +239,7 @@
 		if n == limit {
 			break
 		}
-		if !mayTake(s, r) || !faulty && g.isAvoided(s, now) || !g.mayTakeCall(s, r, now) {
+		if !mayTake(s, r) || !faulty && g.isAvoided(s, now) || !g.isWithinLimit(s, r, now) {
 			continue
 		}
 		if s.inFlight >= s.maxInFlight || r.Deferrable && g.load(s, now) > float64(s.announced.Slots)-reservedSlots {
--- a/peridot-entry/picker/ratelimit.go
+++ b/peridot-entry/picker/ratelimit.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// maxTokens is how many calls a sender may save up for a server that limits requests. With one sender for each request a second that
-	// the server takes, a server gets at most twice its limit, and two more, in one second, and its limit in the long run.
+	// maxTokens is how many calls an entry may save up for a server that limits requests. In any time, all entries together send what the
+	// server takes in it, and at most maxTokens more for each entry that sends.
 	maxTokens = 2
 	// minRateLimit is the rate at which a server that takes less is tried all the same, which shows when its limit ends.
 	minRateLimit = 0.1
@@ -39,10 +39,10 @@
 	// unreported is set while other entries have to be told that the limit was set or ended, reportedAt is when they last were told.
 	unreported bool
 	reportedAt time.Time
-	// share is the rate at which this entry may send, computed for the list of entries that senders held.
+	// share is the rate at which this entry may send. It was computed for entries, and has to be again unless hasShare is set.
 	share    float64
-	shared   bool
-	senders  []string
+	hasShare bool
+	entries  []string
 	tokens   float64
 	tokensAt time.Time
 }
@@ -61,7 +61,7 @@
 	if limit == l.limit && wasLimited == limit.Named {
 		return false
 	}
-	l.limit, l.learnedAt, l.shared = limit, now, false
+	l.limit, l.learnedAt, l.hasShare = limit, now, false
 	if !wasLimited {
 		l.tokens, l.tokensAt = 0, now
 	}
@@ -71,10 +71,10 @@
 // refill adds the tokens for the time since the last call. entries are the ids of the entries that share the server, self among them;
 // when they aren't known, each of n entries gets the same share.
 func (l *rateLimit) refill(server, self string, entries []string, n int, now time.Time) {
-	if !l.shared || !sameList(l.senders, entries) {
+	if !l.hasShare || !sameList(l.entries, entries) {
 		rate := max(l.limit.PerSecond, minRateLimit)
-		l.share, l.senders, l.shared = rate/float64(max(n, 1)), entries, len(entries) > 0
-		if l.shared {
+		l.share, l.entries, l.hasShare = rate/float64(max(n, 1)), entries, len(entries) > 0
+		if l.hasShare {
 			l.share = shareOf(rate, server, self, entries)
 		}
 	}
@@ -109,8 +109,8 @@
 	return mixBits(h.Sum64())
 }
 
-// mayTakeCall reports whether the server's limit allows a call. Less urgent calls leave a token to more urgent ones, while there are any.
-func (g *group) mayTakeCall(s *server, r *Request, now time.Time) bool {
+// isWithinLimit reports whether the server's limit allows a call of this entry. Less urgent calls leave a token to more urgent ones, while there are any.
+func (g *group) isWithinLimit(s *server, r *Request, now time.Time) bool {
 	if !s.rateLimit.isLimited(now) {
 		return true
 	}
@@ -142,7 +142,7 @@
 
 // hasLimited reports whether a server that may take the request is left out because of its limit.
 func (g *group) hasLimited(r *Request, now time.Time) bool {
-	return slices.ContainsFunc(g.servers, func(s *server) bool { return mayTake(s, r) && !g.mayTakeCall(s, r, now) })
+	return slices.ContainsFunc(g.servers, func(s *server) bool { return mayTake(s, r) && !g.isWithinLimit(s, r, now) })
 }
 
 func (g *group) setRateLimit(s *server, limit sender.RateLimit, reported bool, now time.Time) {
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -318,7 +318,7 @@
 		Dur("for-ms", e.For).Msg("backend server faulty")
 }
 
-// recordRateLimit logs that a server's limit has changed, and has it reported at once if this entry is the first to learn of it.
+// recordRateLimit logs that a server's limit has changed, and has it reported at once if this entry learned it from the server.
 func (s *Routed) recordRateLimit(c picker.RateLimitChange) {
 	event := s.cfg.Log.Info().Str("server", c.Key.InstanceID).Str("service", c.Key.Service)
 	if c.Limit.Named {
