Limits of servers are kept for calls that can still meet their objective

Cause: late calls took tokens like any other, although a server's slots are kept from them. Class: a rule of the slots not carried over to a new kind of limit.

Change: a late call needs a full bucket. The new test fails without the change.

--- a/peridot-entry/picker/ratelimit.go
+++ b/peridot-entry/picker/ratelimit.go
@@ -109,14 +109,15 @@
 	return mixBits(h.Sum64())
 }
 
-// isWithinLimit reports whether the server's limit allows a call of this entry. Less urgent calls leave a token to more urgent ones, while there are any.
+// isWithinLimit reports whether the server's limit allows a call of this entry. Calls that miss their objective anyway, and less urgent ones, leave a
+// token to the others.
 func (g *group) isWithinLimit(s *server, r *Request, now time.Time) bool {
 	if !s.rateLimit.isLimited(now) {
 		return true
 	}
 	s.rateLimit.refill(s.announced.InstanceID, g.self, g.members(), g.entries(), now)
 	needed := 1.0
-	if g.hasMoreUrgent(r.Rank, now) {
+	if r.Late || g.hasMoreUrgent(r.Rank, now) {
 		needed = maxTokens
 	}
 	return s.rateLimit.tokens >= needed
--- a/peridot-entry/picker/ratelimit_test.go
+++ b/peridot-entry/picker/ratelimit_test.go
@@ -276,3 +276,31 @@
 		t.Errorf("%d calls in 20 s, want 1 to 4", calls)
 	}
 }
+
+// When all servers limit requests, most calls are refused and come back late. These must not take what the servers take away from calls
+// that can still meet their objective.
+func TestLimitsAreKeptForCallsInTime(t *testing.T) {
+	const perSecond, rate = 2.2, 100
+	share := func(ignoreLate bool) (mean float64) {
+		const seeds = 5
+		for seed := range uint64(seeds) {
+			s := newSim(seed, Expected)
+			s.ignoreLate = ignoreLate
+			s.after(3*time.Second, func() {
+				for i := range simServers {
+					s.setLimit(i, perSecond)
+				}
+			})
+			s.shareFaults(reportInterval, reportDelay)
+			s.startCalls(steady(rate), 16*time.Second)
+			s.run(20 * time.Second)
+			mean += s.share(8, 14) / seeds
+		}
+		return mean
+	}
+	with, without, most := share(false), share(true), simServers*perSecond/rate
+	t.Logf("%.3f of the calls met their objective, %.3f with late calls treated like the others, %.3f is the most", with, without, most)
+	if with < 0.9*most || with <= without {
+		t.Errorf("%.3f of the calls met their objective, want at least nine tenths of %.3f and more than the %.3f without", with, most, without)
+	}
+}
