Entry quarantiner: no checks while there is nothing to check

Since entries of the platform have a quarantiner, each woke up 20 times a second, on instances whose processor time is scarce. It now sleeps until a connection is lost, checks every 50 ms while that may mean a crash, and otherwise once a second while there are suspects. The spec fails with the checks always on.

--- a/peridot-entry/quarantiner/crash.go
+++ b/peridot-entry/quarantiner/crash.go
@@ -47,6 +47,7 @@
 	}
 	q.possibleCrashes[inc] = p
 	q.mu.Unlock()
+	q.wakeUp()
 	q.wg.Go(func() {
 		defer close(p.done)
 		if q.cfg.ConnectionRefused(req.Address) {
--- a/peridot-entry/quarantiner/quarantiner.go
+++ b/peridot-entry/quarantiner/quarantiner.go
@@ -48,7 +48,9 @@
 	// confirmWithin is how long after a lost connection the end of the backend server's lease or a newer incarnation counts as its crash.
 	confirmWithin   = 3 * time.Second
 	confirmInterval = 50 * time.Millisecond
-	maxSuspects     = 1024
+	// expireInterval is how often expired suspects are looked for.
+	expireInterval = time.Second
+	maxSuspects    = 1024
 )
 
 // ContainedRequest is a request that is refused.
@@ -98,6 +100,7 @@
 	// unreported holds, by fingerprint, what control has not acknowledged.
 	unreported map[string]*CrashReport
 
+	wake   chan struct{}
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
@@ -115,21 +118,45 @@
 		suspects:        make(map[string]*suspect),
 		locks:           make(map[serverIncarnation]*serverLock),
 		unreported:      make(map[string]*CrashReport),
+		wake:            make(chan struct{}, 1),
 		cancel:          cancel,
 	}
 	q.wg.Go(func() {
 		for ctx.Err() == nil {
 			q.confirmCrashes()
 			q.expire()
-			select {
-			case <-ctx.Done():
-			case <-time.After(confirmInterval):
-			}
+			q.sleep(ctx)
 		}
 	})
 	return q
 }
 
+// sleep waits until the next check is due, which is never while there is nothing to check.
+func (q *Quarantiner) sleep(ctx context.Context) {
+	q.mu.Lock()
+	var due <-chan time.Time
+	switch {
+	case len(q.possibleCrashes) > 0:
+		due = time.After(confirmInterval)
+	case len(q.suspects) > 0:
+		due = time.After(expireInterval)
+	}
+	q.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-due:
+	case <-q.wake:
+	}
+}
+
+// wakeUp makes the background checks run now, since there is something to check.
+func (q *Quarantiner) wakeUp() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Close stops the background checks and waits for them to end.
 func (q *Quarantiner) Close() {
 	q.cancel()
--- a/peridot-entry/quarantiner/report_test.go
+++ b/peridot-entry/quarantiner/report_test.go
@@ -21,6 +21,8 @@
 	*Quarantiner
 	// seconds is the time.
 	seconds atomic.Int64
+	// reads counts the times that the entry has read the time.
+	reads   atomic.Int64
 	respond func(*sender.Request) (*sender.Response, error)
 	refused bool
 	dials   int
@@ -34,7 +36,10 @@
 		return nil, &sender.Error{Phase: sender.Waiting, Written: true, Err: io.EOF}
 	}
 	r.Quarantiner = New(Config{
-		Now:  func() time.Time { return time.Unix(1000+r.seconds.Load(), 0) },
+		Now: func() time.Time {
+			r.reads.Add(1)
+			return time.Unix(1000+r.seconds.Load(), 0)
+		},
 		Send: func(_ context.Context, req *sender.Request) (*sender.Response, error) { return r.respond(req) },
 		ConnectionRefused: func(string) bool {
 			r.dials++
@@ -111,6 +116,16 @@
 		Expect(r.Admit(request("a", "s"))).To(HaveOccurred())
 	})
 
+	// Guards against an entry that wakes up all the time although no server has crashed.
+	It("checks nothing until a connection is lost", func() {
+		r := newReporting()
+		time.Sleep(2 * confirmInterval)
+		before := r.reads.Load()
+		Consistently(r.reads.Load, 4*confirmInterval, confirmInterval/2).Should(Equal(before))
+		Expect(r.send(request("a", "s"))).NotTo(Succeed())
+		Eventually(r.reads.Load, time.Second, confirmInterval/2).Should(BeNumerically(">", before+4))
+	})
+
 	It("refuses by itself what crashes servers again while control still lists it", func() {
 		r := newReporting()
 		r.SetContained([]CrashReport{{Fingerprint: Fingerprint(request("a", "s"))}})
--- a/peridot-entry/quarantiner/suspect.go
+++ b/peridot-entry/quarantiner/suspect.go
@@ -144,6 +144,7 @@
 func (q *Quarantiner) addSuspect(fingerprint, service, method, path string) *suspect {
 	s := &suspect{fingerprint: fingerprint, service: service, method: method, path: path, crashes: make(map[crash]time.Time)}
 	q.suspects[fingerprint] = s
+	q.wakeUp()
 	return s
 }
 
