Spec of odd announcements: calls to the later server are made at once

The stand-in reports one running call at all times: with a response this is the call itself, with a probe another one. When the spec's calls came within 20 ms of each other, the server that had the first call looked idle and the other one busy, every time.

Now each entry must have the server in its table and then send some of twelve concurrent calls to it, which also asks more than before: both entries, not one of them.

--- a/prover/platform_odd_test.go
+++ b/prover/platform_odd_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -13,9 +14,10 @@
 var _ = Describe("on the simulated platform, an announcement that no backend server would send", Label("platform"), func() {
 	// Guards against one odd record that ends control members and entries, or makes them stop following the table of servers.
 	It("is refused, and neither ends a process nor keeps entries from following later changes", func() {
+		const serviceTime = 50 * time.Millisecond
 		f := newPlatformFleet(3, 2)
 		Expect(f.putConfig(configJSON(7))).To(Equal(http.StatusOK))
-		f.addServer(time.Millisecond)
+		f.addServer(serviceTime)
 		f.waitServing()
 		body := func(address, info, status string) string {
 			return fmt.Sprintf(`{"address":%s,"born":1,"info":{"service":"s","version":"v1","zone":"a","concurrency":%s},"status":{"state":"ready","seq":1,"warmup_left_ms":%s}}`, address, info, status)
@@ -47,13 +49,18 @@
 		for _, id := range []string{"%ff%fe", strings.Repeat("x", 3000)} {
 			Expect(postJSON(f.control[0].url(controlPort, "/instances/"+id+"/leave"), "")).To(Equal(http.StatusBadRequest))
 		}
-		later := f.addServer(time.Millisecond)
-		Eventually(func() int {
-			for i, e := range f.entries {
-				e.send(http.MethodGet, "/s/x", fmt.Sprintf("later-%d-%d", i, time.Now().UnixNano()))
+		later := f.addServer(serviceTime)
+		for _, e := range f.entries {
+			Eventually(e.output.String, "10s", "50ms").Should(ContainSubstring(fmt.Sprintf("%q:%q", "server", later.id)), "entries follow the table")
+			// Calls one after the other may all go to one server, as both report the same load.
+			before := later.callsAfter(time.Time{})
+			var wg sync.WaitGroup
+			for i := range 12 {
+				wg.Go(func() { e.send(http.MethodGet, "/s/x", fmt.Sprintf("later-%s-%d", e.ip, i)) })
 			}
-			return later.callsAfter(time.Time{})
-		}, "10s", "10ms").ShouldNot(BeZero(), "entries follow the table")
+			wg.Wait()
+			Expect(later.callsAfter(time.Time{})-before).NotTo(BeZero(), "entries send calls to the later server")
+		}
 		Expect(f.putConfig(configJSON(9))).To(Equal(http.StatusOK))
 		for _, p := range append(f.control, f.entries...) {
 			Consistently(p.done, "100ms").ShouldNot(BeClosed())
