--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec bash "$(dirname "$0")/../run-case.sh" lost-quorum 2
+exec bash "$(dirname "$0")/../run-case.sh" replaced-core 2
--- a/review/standin/losses.go
+++ b/review/standin/losses.go
@@ -54,5 +54,19 @@
 		broken = append(broken, fmt.Sprintf("CONFIG: no member gives the acknowledged config %08x, read from %v to %v after all machines were back", version, recovery, recovery+stableWindow+3*time.Second))
 	}
 	f.rec.log("a further config is acknowledged: %t", f.putConfig(version+2, routes, 4*time.Second))
+	if read == 0 {
+		f.showRestart(f.entries[0], routes[0].prefix)
+	}
 	return broken
 }
+
+// showRestart restarts an entry and records how it answers a call afterwards, which shows what the loss means for callers.
+func (f *fleet) showRestart(e *machine, prefix string) {
+	f.rec.log("%s is restarted, for the record only", e.name)
+	f.powerOff(e)
+	f.startMachine(e, false)
+	time.Sleep(8 * time.Second)
+	ready, _ := get("http://" + e.addr(readyPort) + "/ready")
+	a := f.send(e.addr(frontPort), &call{method: "GET", path: prefix + "x", deadline: 1500 * time.Millisecond})
+	f.rec.log("%s 8 s later: /ready answers %d, a call is answered with %d", e.name, ready, a.status)
+}
