--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec bash "$(dirname "$0")/../run-case.sh" server-leaving 5
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -79,7 +79,7 @@
 	dir, err := os.MkdirTemp("", "review-")
 	must(err)
 	root := os.Getenv("ROOT")
-	return &fleet{rec: rec, dir: dir, program: filepath.Join(root, "target", "platform"), nextIP: os.Getpid() % 20000}
+	return &fleet{rec: rec, dir: dir, program: filepath.Join(root, "target", "platform"), nextIP: os.Getpid() % 4000 * 16}
 }
 
 // newIP returns a loopback address on which all ports of a machine are free.
@@ -104,6 +104,14 @@
 
 // start starts the first machines: all at the same time, with empty disks.
 func (f *fleet) start(controls, entries int, behindProxy bool) {
+	f.place(controls, entries, behindProxy)
+	for _, m := range f.machines() {
+		f.startMachine(m, true)
+	}
+}
+
+// place chooses the addresses of the first machines, which are not started.
+func (f *fleet) place(controls, entries int, behindProxy bool) {
 	for i := range controls {
 		m := &machine{name: fmt.Sprintf("core-%d", i+1), ip: f.newIP(), role: "control"}
 		m.data = filepath.Join(f.dir, m.name+"-data")
@@ -117,17 +125,14 @@
 	for i := range entries {
 		f.entries = append(f.entries, &machine{name: fmt.Sprintf("front-%d", i+1), ip: f.newIP(), role: "entry"})
 	}
-	for _, m := range f.machines() {
-		f.startMachine(m, true)
-	}
 }
 
 func (f *fleet) machines() []*machine {
 	return append(append([]*machine{}, f.controls...), f.entries...)
 }
 
-// startMachine starts the process of a machine with the fields of deploy/settings.yaml.
-func (f *fleet) startMachine(m *machine, bootstrap bool) {
+// writeSettings writes the settings of a machine with the fields of deploy/settings.yaml.
+func (f *fleet) writeSettings(m *machine, bootstrap bool) {
 	var seeds []string
 	for _, c := range f.controls[:min(3, len(f.controls))] {
 		seeds = append(seeds, c.addr(controlPort))
@@ -144,6 +149,11 @@
 	}
 	m.settings = filepath.Join(f.dir, m.name+".yaml")
 	must(os.WriteFile(m.settings, []byte(text), 0o600))
+}
+
+// startMachine starts the process of a machine.
+func (f *fleet) startMachine(m *machine, bootstrap bool) {
+	f.writeSettings(m, bootstrap)
 	var err error
 	m.output, err = os.OpenFile(filepath.Join(f.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must(err)
