steward: remove a voter that is gone once its successor votes

Callers saw: after a control member had been replaced, the loss of another member's disk 4.5 s after the successor's start left control without a leader for good. The configuration could not be read, and restarted entries answered 503.

Cause: with MaxVoters a spare gets a vote at once, while the voter that it replaces stays for ReplaceAfter, 10 s. Of four voters, one gone for good, three make a majority; a lost disk left two.

Change: a voter that is unresponsive and has not acknowledged the membership in force, where the number of voters is even, is removed after a quarter of ReplaceAfter. A voter that restarts has acknowledged it. Removing one of an even number lowers no tolerance, so an odd number is left alone.

--- a/peridot-control/replicator/log.go
+++ b/peridot-control/replicator/log.go
@@ -111,9 +111,14 @@
 	return l.memberships[len(l.memberships)-1].membership
 }
 
+// membershipIndex returns the index of the membership in force.
+func (l *raftLog) membershipIndex() uint64 {
+	return l.memberships[len(l.memberships)-1].index
+}
+
 // membershipCommitted reports whether the membership in force is committed.
 func (l *raftLog) membershipCommitted() bool {
-	return l.memberships[len(l.memberships)-1].index <= l.commit
+	return l.membershipIndex() <= l.commit
 }
 
 // membershipAsOf returns the membership that the entries up to index result in.
--- a/peridot-control/replicator/status.go
+++ b/peridot-control/replicator/status.go
@@ -17,7 +17,9 @@
 	Commit    uint64
 	Applied   uint64
 	LastIndex uint64
-	// MembershipCommitted is set when the membership in force is committed, so that another change may be proposed.
+	// MembershipIndex is the log index of the membership in force. MembershipCommitted is set when it is committed, so that another change
+	// may be proposed.
+	MembershipIndex     uint64
 	MembershipCommitted bool
 	// Members is empty on a process that has not joined a cluster yet.
 	Members []MemberStatus
@@ -42,7 +44,7 @@
 	c := r.core
 	st := &Status{
 		Term: c.vote.Term, IsLeader: c.role == leader, Commit: c.log.commit, Applied: r.applied, LastIndex: c.log.lastIndex(),
-		MembershipCommitted: c.log.membershipCommitted(), Self: r.self(),
+		MembershipIndex: c.log.membershipIndex(), MembershipCommitted: c.log.membershipCommitted(), Self: r.self(),
 	}
 	for _, m := range c.log.membership().Members {
 		ms := MemberStatus{Member: m}
--- a/peridot-control/steward/steward.go
+++ b/peridot-control/steward/steward.go
@@ -117,7 +117,7 @@
 		switch {
 		case !m.Member.Voter:
 			learner = m
-		case failed == nil && s.hasFailed(m, spares):
+		case (failed == nil || m.SinceLastAck > failed.SinceLastAck) && (s.hasFailed(m, spares) || s.hasSuccessor(st, m)):
 			failed = m
 		}
 	}
@@ -159,7 +159,7 @@
 	if s.hasFailed(l, spares) {
 		return &membershipChange{"removing learner " + l.Member.InstanceId, func(ctx context.Context) error { return s.cfg.Remove(ctx, id) }}
 	}
-	if l.Match == 0 || l.Match+maxLearnerLag < st.Commit || l.SinceLastAck > s.cfg.ReplaceAfter/4 {
+	if l.Match == 0 || l.Match+maxLearnerLag < st.Commit || s.isUnresponsive(l) {
 		return nil
 	}
 	return &membershipChange{"giving the vote to " + l.Member.InstanceId, func(ctx context.Context) error { return s.cfg.Promote(ctx, id) }}
@@ -179,6 +179,18 @@
 	return false
 }
 
+// hasSuccessor reports whether a voter has been unresponsive since before the latest change of the membership, which made the number
+// of voters even: another member has got a vote in the meantime and replaces it. While a majority counts both, one more lost data directory
+// could leave too few voters for ever, so that removing this one doesn't wait for ReplaceAfter.
+func (s *Steward) hasSuccessor(st *replicator.Status, m *replicator.MemberStatus) bool {
+	return countVoters(st)%2 == 0 && m.Match < st.MembershipIndex && s.isUnresponsive(m)
+}
+
+// isUnresponsive reports whether a member has acknowledged nothing for longer than a short outage.
+func (s *Steward) isUnresponsive(m *replicator.MemberStatus) bool {
+	return m.SinceLastAck > s.cfg.ReplaceAfter/4
+}
+
 // mayRemoveVoter reports whether a failed voter may be removed now: either its replacement has become a voter, which makes the number
 // of voters even, or MaxVoters is set, so that spares join without waiting for a voter to fail.
 func (s *Steward) mayRemoveVoter(st *replicator.Status, _ *replicator.MemberStatus) bool {
@@ -239,12 +251,13 @@
 		return nil
 	}
 	voters, unresponsive := 0, 0
-	for _, m := range st.Members {
+	for i := range st.Members {
+		m := &st.Members[i]
 		if !m.Member.Voter {
 			continue
 		}
 		voters++
-		if m.SinceLastAck > s.cfg.ReplaceAfter/4 {
+		if s.isUnresponsive(m) {
 			unresponsive++
 			alarms = append(alarms, fmt.Sprintf("control member %s has not answered for %v", m.Member.InstanceId, m.SinceLastAck.Round(time.Second)))
 		}
--- a/peridot-control/steward/steward_test.go
+++ b/peridot-control/steward/steward_test.go
@@ -21,6 +21,7 @@
 	}
 }
 
+// A voter that is lost for good must not stay one beside its successor, nor one that restarts be removed.
 func TestNextChange(t *testing.T) {
 	const replaceAfter = 10 * time.Second
 	spare := func(id uint64, address string) *replicatorpb.Member {
@@ -28,23 +29,44 @@
 	}
 	three := []replicator.MemberStatus{member(1, "a", true, 0), member(2, "b", true, 0), member(3, "c", true, 0)}
 	silent := []replicator.MemberStatus{member(1, "a", true, 0), member(2, "b", true, 0), member(3, "c", true, time.Minute), member(4, "d", true, 0)}
+	away := func(id uint64, address string, sinceLastAck time.Duration) replicator.MemberStatus {
+		m := member(id, address, true, sinceLastAck)
+		m.Match = 9
+		return m
+	}
+	current := func(id uint64, address string) replicator.MemberStatus {
+		m := member(id, address, true, 0)
+		m.Match = 12
+		return m
+	}
+	succeeded := []replicator.MemberStatus{current(1, "a"), current(2, "b"), away(3, "c", replaceAfter/3), current(4, "d")}
+	briefly := []replicator.MemberStatus{current(1, "a"), current(2, "b"), away(3, "c", replaceAfter/5), current(4, "d")}
+	twoAway := []replicator.MemberStatus{current(1, "a"), away(2, "b", replaceAfter/3), away(3, "c", replaceAfter/2), current(4, "d"), current(5, "e"), current(6, "f")}
 	tests := map[string]struct {
 		voters  int
 		members []replicator.MemberStatus
 		spares  []*replicatorpb.Member
-		want    string
+		// membershipIndex is the index of the membership in force; all but silent members have acknowledged index 10.
+		membershipIndex uint64
+		want            string
 	}{
-		"all members respond and no spare exists":                           {15, three, nil, ""},
-		"a spare is added below the maximum of voters":                      {15, three, []*replicatorpb.Member{spare(4, "d")}, "adding d as a learner"},
-		"a spare isn't added without a maximum of voters":                   {0, three, []*replicatorpb.Member{spare(4, "d")}, ""},
-		"a spare isn't added above the maximum of voters":                   {3, three, []*replicatorpb.Member{spare(4, "d")}, ""},
-		"a learner that has caught up is promoted":                          {15, append(three[:3:3], member(4, "d", false, 0)), nil, "giving the vote to d"},
-		"a member that lost its data directory is removed":                  {15, three, []*replicatorpb.Member{spare(9, "c")}, "removing c"},
-		"without a maximum of voters it is added under its new id first":    {0, three, []*replicatorpb.Member{spare(9, "c")}, "adding c as a learner in place of c"},
-		"a silent member is removed when a majority of the others responds": {15, silent, nil, "removing c"},
-		"all members respond and there is no maximum of voters":             {0, three[:3], nil, ""},
-		"no member is removed while a majority is silent":                   {15, []replicator.MemberStatus{member(1, "a", true, 0), member(2, "b", true, time.Minute), member(3, "c", true, time.Minute)}, nil, ""},
-		"a silent learner is removed":                                       {15, append(three[:3:3], member(4, "d", false, time.Minute)), nil, "removing learner d"},
+		"all members respond and no spare exists":                           {15, three, nil, 0, ""},
+		"a spare is added below the maximum of voters":                      {15, three, []*replicatorpb.Member{spare(4, "d")}, 0, "adding d as a learner"},
+		"a spare isn't added without a maximum of voters":                   {0, three, []*replicatorpb.Member{spare(4, "d")}, 0, ""},
+		"a spare isn't added above the maximum of voters":                   {3, three, []*replicatorpb.Member{spare(4, "d")}, 0, ""},
+		"a learner that has caught up is promoted":                          {15, append(three[:3:3], member(4, "d", false, 0)), nil, 0, "giving the vote to d"},
+		"a member that lost its data directory is removed":                  {15, three, []*replicatorpb.Member{spare(9, "c")}, 0, "removing c"},
+		"without a maximum of voters it is added under its new id first":    {0, three, []*replicatorpb.Member{spare(9, "c")}, 0, "adding c as a learner in place of c"},
+		"a silent member is removed when a majority of the others responds": {15, silent, nil, 0, "removing c"},
+		"all members respond and there is no maximum of voters":             {0, three[:3], nil, 0, ""},
+		"no member is removed while a majority is silent":                   {15, []replicator.MemberStatus{member(1, "a", true, 0), member(2, "b", true, time.Minute), member(3, "c", true, time.Minute)}, nil, 0, ""},
+		"a silent learner is removed":                                       {15, append(three[:3:3], member(4, "d", false, time.Minute)), nil, 0, "removing learner d"},
+		"a voter that was away when its successor got a vote is removed":    {15, succeeded, nil, 12, "removing c"},
+		"without a maximum of voters as well":                               {0, succeeded, nil, 12, "removing c"},
+		"the one that has been away longest is removed":                     {15, twoAway, nil, 12, "removing c"},
+		"a voter that restarts after the last change of voters isn't":       {15, succeeded, nil, 8, ""},
+		"a voter that is away briefly isn't":                                {15, briefly, nil, 12, ""},
+		"a voter that is away isn't removed from an odd number of voters":   {15, succeeded[:3], nil, 12, ""},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -54,7 +76,7 @@
 				AddLearner: func(context.Context, *replicatorpb.Member) error { return nil }, Promote: noop, Remove: noop,
 			}}
 			got := ""
-			if next := s.nextChange(&replicator.Status{Members: tt.members, Commit: 10}); next != nil {
+			if next := s.nextChange(&replicator.Status{Members: tt.members, Commit: 10, MembershipIndex: tt.membershipIndex}); next != nil {
 				got = next.description
 			}
 			if got != tt.want && (tt.want == "" || !strings.HasPrefix(got, tt.want)) {
--- a/prover/platform_fleet_test.go
+++ b/prover/platform_fleet_test.go
@@ -75,6 +75,23 @@
 	return f
 }
 
+// addMember starts an empty control member at a new address, which asks the others to join.
+func (f *platformFleet) addMember(id string) *platformProcess {
+	p := &platformProcess{ip: newIP(), data: filepath.Join(f.dir, "data-"+id)}
+	f.writeSettings(p, id, false)
+	p.process = start("platform", "control", "--settings", p.settings)
+	return p
+}
+
+// loseDisk kills the control member with the given number and restarts it with an empty disk.
+func (f *platformFleet) loseDisk(i int) {
+	p := f.control[i]
+	p.kill()
+	Expect(os.RemoveAll(p.data)).To(Succeed())
+	f.writeSettings(p, fmt.Sprintf("core-%d", i), false)
+	p.start()
+}
+
 // writeSettings writes the settings file of a process.
 func (f *platformFleet) writeSettings(p *platformProcess, id string, found bool) {
 	var seeds []string
--- a/prover/platform_test.go
+++ b/prover/platform_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -118,10 +117,7 @@
 		Expect(f.putConfig(configJSON(7))).To(Equal(http.StatusOK))
 		f.addServer(time.Millisecond)
 		f.waitServing()
-		f.control[2].kill()
-		Expect(os.RemoveAll(f.control[2].data)).To(Succeed())
-		f.writeSettings(f.control[2], "core-2", false)
-		f.control[2].start()
+		f.loseDisk(2)
 		Eventually(func() bool {
 			return strings.Contains(f.control[0].output.String()+f.control[1].output.String(), "giving the vote to core-2")
 		}, "10s", "50ms").Should(BeTrue())
@@ -130,6 +126,23 @@
 		Eventually(func() string { _, body := get(f.control[2].url(controlPort, "/config/get")); return body }, "20s", "50ms").Should(Equal(configJSON(8)))
 	})
 
+	// A replaced member that still counted for the majority beside its successor ended control for good.
+	It("tolerates the loss of a disk once the successor of a replaced member has had its time to catch up", func() {
+		const catchUp = 4 * time.Second
+		f := newPlatformFleet(3, 0)
+		Expect(f.putConfig(configJSON(7))).To(Equal(http.StatusOK))
+		f.control[0].kill()
+		time.Sleep(time.Second)
+		f.control[0] = f.addMember("core-3")
+		time.Sleep(catchUp)
+		Expect(f.putConfig(configJSON(8))).To(Equal(http.StatusOK))
+		f.loseDisk(1)
+		for _, c := range f.control {
+			Eventually(func() string { _, body := get(c.url(controlPort, "/config/get")); return body }, "15s", "50ms").Should(Equal(configJSON(8)))
+		}
+		Expect(f.putConfig(configJSON(9))).To(Equal(http.StatusOK))
+	})
+
 	It("sends no calls to a server whose leave was acknowledged, and leaves no call without a response while an entry stops", func() {
 		f := newPlatformFleet(3, 2)
 		Expect(f.putConfig(configJSON(7))).To(Equal(http.StatusOK))
