picker: honor Retry-After of backend servers

Callers saw: retries and new calls went on to servers that had refused calls with 503 and Retry-After.

Cause: nothing read the header. A refusal raised the load assumed at the server for about one latency, and then the server got calls again.

Change: the header of a 503 or 429 pauses the server at the entry that got it, for calls, retries and probes, from when the header is read. If only paused servers could take a call it is refused at once, with a Retry-After behind the first return.

--- a/peridot-entry/dispatcher/attempt.go
+++ b/peridot-entry/dispatcher/attempt.go
@@ -48,6 +48,9 @@
 	if res.Draining {
 		a.choice.MarkDraining()
 	}
+	if res.RetryAfter > 0 {
+		a.choice.Pause(res.RetryAfter)
+	}
 	begin := time.Now()
 	body, err := readAhead(res.Body)
 	a.trace.Read = time.Since(begin)
--- a/peridot-entry/dispatcher/dispatcher_test.go
+++ b/peridot-entry/dispatcher/dispatcher_test.go
@@ -513,3 +513,21 @@
 		t.Errorf("the first call failed: %v", err)
 	}
 }
+
+// A call that only paused servers could take must be refused as not run, for longer than the pause lasts, and not wait.
+func TestCallToPausedServersIsRefusedAtOnce(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	d, sent, _ := newTestDispatcher(respond(200))
+	d.cfg.Pick = func(picker.Request) (*picker.Choice, error) { return nil, &picker.PausedError{RetryAfter: pause} }
+	c := newCall(parser.OncePerSend)
+	c.Rule.Objective = parser.Duration(time.Minute)
+	begin := time.Now()
+	_, err := d.Do(context.Background(), c)
+	var e *Error
+	if !errors.As(err, &e) || e.Outcome != NotRun || e.Status != http.StatusServiceUnavailable || e.RetryAfter < pause {
+		t.Errorf("error is %+v, want a refusal for at least %v", err, pause)
+	}
+	if took := time.Since(begin); sent.Load() != 0 || took > time.Second || c.Trace.Cause != "servers-paused" {
+		t.Errorf("%d attempts in %v, cause %q", sent.Load(), took, c.Trace.Cause)
+	}
+}
--- a/peridot-entry/dispatcher/failure.go
+++ b/peridot-entry/dispatcher/failure.go
@@ -29,7 +29,8 @@
 		return !se.Written
 	}
 	var shed *limiter.ShedError
-	return isContained(err) || errors.Is(err, errShed) || errors.Is(err, picker.ErrNoServer) || errors.Is(err, picker.ErrFull) || errors.Is(err, picker.ErrRateLimited) || errors.As(err, &shed)
+	var paused *picker.PausedError
+	return isContained(err) || errors.As(err, &paused) || errors.Is(err, errShed) || errors.Is(err, picker.ErrNoServer) || errors.Is(err, picker.ErrFull) || errors.Is(err, picker.ErrRateLimited) || errors.As(err, &shed)
 }
 
 // isContained reports whether the request was refused because requests like it crash backend servers.
@@ -54,6 +55,7 @@
 // refusalCause returns why no backend server ran the call, as the metrics and the log name it.
 func refusalCause(ctx context.Context, err error) string {
 	var shed *limiter.ShedError
+	var paused *picker.PausedError
 	switch {
 	case isContained(err):
 		return "crashes-servers"
@@ -71,6 +73,8 @@
 		return "servers-full"
 	case errors.Is(err, picker.ErrRateLimited):
 		return "servers-limited"
+	case errors.As(err, &paused):
+		return "servers-paused"
 	}
 	return "no-connection"
 }
@@ -84,11 +88,14 @@
 	}
 	var shed *limiter.ShedError
 	var contained *quarantiner.Error
+	var paused *picker.PausedError
 	switch {
 	case errors.As(err, &contained):
 		e.Status, e.RetryAfter = http.StatusUnprocessableEntity, contained.RetryAfter
 	case errors.As(err, &shed):
 		e.Status, e.RetryAfter = http.StatusServiceUnavailable, shed.RetryAfter
+	case errors.As(err, &paused):
+		e.Status, e.RetryAfter = http.StatusServiceUnavailable, paused.RetryAfter+rand.N(x.retryAfterDelay())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		e.Status = http.StatusGatewayTimeout
 	case errors.Is(err, errShed), errors.Is(err, picker.ErrNoServer), errors.Is(err, picker.ErrFull), errors.Is(err, picker.ErrRateLimited):
--- a/peridot-entry/picker/group.go
+++ b/peridot-entry/picker/group.go
@@ -50,8 +50,9 @@
 	policy   Policy
 	entries  func() int
 	onFaulty func(FaultyServer)
-	// onDraining and onRateLimit are Config.OnDraining and Config.OnRateLimit.
+	// onDraining, onPaused and onRateLimit are the fields of Config.
 	onDraining  func(registrar.Key)
+	onPaused    func(registrar.Key, time.Duration)
 	onRateLimit func(RateLimitChange)
 	// self is this entry's id, and members is Config.Members.
 	self    string
@@ -103,7 +104,7 @@
 }
 
 func newGroup(cfg Config, startedAt time.Time) *group {
-	return &group{policy: cfg.Policy, startedAt: startedAt, entries: cfg.Entries, onFaulty: cfg.OnFaulty, onDraining: cfg.OnDraining, onRateLimit: cfg.OnRateLimit, self: cfg.InstanceID, members: cfg.Members, known: make(map[identity]*server), turn: rand.IntN(math.MaxInt32)}
+	return &group{policy: cfg.Policy, startedAt: startedAt, entries: cfg.Entries, onFaulty: cfg.OnFaulty, onDraining: cfg.OnDraining, onPaused: cfg.OnPaused, onRateLimit: cfg.OnRateLimit, self: cfg.InstanceID, members: cfg.Members, known: make(map[identity]*server), turn: rand.IntN(math.MaxInt32)}
 }
 
 // update takes over the registrar's list of servers. The registrar makes a new list on each change, so one at the same address is the
@@ -190,6 +191,9 @@
 	case g.hasLimited(r, now):
 		return nil, ErrRateLimited
 	default:
+		if err := g.pausedError(r, now); err != nil {
+			return nil, err
+		}
 		return nil, ErrNoServer
 	}
 	switch g.policy {
@@ -241,10 +245,10 @@
 		if n == limit {
 			break
 		}
-		if !mayTake(s, r) || !faulty && g.isAvoided(s, now) || !g.isWithinLimit(s, r, now) {
+		if !mayTake(s, r, now) || !faulty && g.isAvoided(s, now) || !g.isWithinLimit(s, r, now) {
 			continue
 		}
-		if s.inFlight >= s.maxInFlight || r.Deferrable && g.load(s, now) > float64(s.announced.Slots)-reservedSlots {
+		if s.isBusy(now) || r.Deferrable && g.load(s, now) > float64(s.announced.Slots)-reservedSlots {
 			full = true
 			continue
 		}
@@ -274,8 +278,13 @@
 	}
 }
 
-// mayTake reports whether a server is ready, as far as known here, and not excluded by the request.
-func mayTake(s *server, r *Request) bool {
+// mayTake reports whether a server is ready, as far as known here, not paused, and not excluded by the request.
+func mayTake(s *server, r *Request, now time.Time) bool {
+	return !s.isPaused(now) && mayTakeUnpaused(s, r)
+}
+
+// mayTakeUnpaused is mayTake for a server whose pause has ended.
+func mayTakeUnpaused(s *server, r *Request) bool {
 	return s.announced.State == registrar.Ready && !s.drains && !s.closing && !contains(r.Exclude, s)
 }
 
--- a/peridot-entry/picker/picker.go
+++ b/peridot-entry/picker/picker.go
@@ -105,6 +105,8 @@
 	OnFaulty func(FaultyServer)
 	// OnDraining is called when a server has first said in a response that it drains; it must not block; nil for no call.
 	OnDraining func(registrar.Key)
+	// OnPaused is called when a server that had not asked for a pause asks for one; it must not block; nil for no call.
+	OnPaused func(k registrar.Key, d time.Duration)
 	// OnRateLimit is called when this entry learns that a server has begun to limit requests, limits them differently or no longer does; it
 	// must not block; nil for no call.
 	OnRateLimit func(RateLimitChange)
@@ -142,7 +144,7 @@
 	return &Picker{cfg: cfg, startedAt: cfg.Now(), services: make(map[string]*group)}
 }
 
-// Pick chooses a backend server for an attempt. It returns ErrNoServer, ErrFull or ErrRateLimited when there is none.
+// Pick chooses a backend server for an attempt. It returns ErrNoServer, ErrFull, ErrRateLimited or a *PausedError when there is none.
 func (p *Picker) Pick(r Request) (*Choice, error) {
 	servers := p.cfg.Servers(r.Service)
 	if len(servers) == 0 {
@@ -191,7 +193,7 @@
 		}
 	}
 	for _, s := range g.servers {
-		if s.unreachable && !now.Before(s.ejectedUntil) && s.isProbeable(now) {
+		if s.unreachable && !now.Before(s.ejectedUntil) && s.isProbeable(now) && !s.isPaused(now) {
 			s.eject(now)
 			stale = append(stale, s.announced)
 		}
@@ -206,7 +208,7 @@
 	defer g.mu.Unlock()
 	now := p.cfg.Now()
 	for _, s := range g.servers {
-		if contains(candidates, s) && mayTake(s, &r) && g.load(s, now)+1 <= g.callLimit(&r, s) && g.currentSlowdown(s, now) < slowThreshold {
+		if contains(candidates, s) && mayTake(s, &r, now) && g.load(s, now)+1 <= g.callLimit(&r, s) && g.currentSlowdown(s, now) < slowThreshold {
 			return true
 		}
 	}
--- a/peridot-entry/picker/ratelimit.go
+++ b/peridot-entry/picker/ratelimit.go
@@ -143,7 +143,7 @@
 
 // hasLimited reports whether a server that may take the request is left out because of its limit.
 func (g *group) hasLimited(r *Request, now time.Time) bool {
-	return slices.ContainsFunc(g.servers, func(s *server) bool { return mayTake(s, r) && !g.isWithinLimit(s, r, now) })
+	return slices.ContainsFunc(g.servers, func(s *server) bool { return mayTake(s, r, now) && !g.isWithinLimit(s, r, now) })
 }
 
 func (g *group) setRateLimit(s *server, limit sender.RateLimit, reported bool, now time.Time) {
--- a/peridot-entry/picker/server.go
+++ b/peridot-entry/picker/server.go
@@ -60,6 +60,8 @@
 	// drains is set once the server has said in a response that it drains. closing is set when it has refused a call and closed the
 	// connection, as a server that stops does and sometimes others, until the registrar's list changes.
 	drains, closing bool
+	// pausedUntil is the end of the pause that the server has asked for.
+	pausedUntil time.Time
 
 	ejectedUntil time.Time
 	ejections    int
--- a/peridot-entry/scout/scout.go
+++ b/peridot-entry/scout/scout.go
@@ -29,6 +29,8 @@
 	OnRateLimit func(registrar.Key, sender.RateLimit)
 	// OnDraining is called with a server that said in its response to a probe that it drains; may be nil.
 	OnDraining func(registrar.Key)
+	// OnPause is called with a server that asked in its response to a probe for no calls during d; may be nil.
+	OnPause func(k registrar.Key, d time.Duration)
 	// Budget returns how many probes per second this entry may send to the servers of a service, 0 or less for no limit; nil for no limit
 	// on any service.
 	Budget func(service string) float64
@@ -224,6 +226,9 @@
 	if s.cfg.OnRateLimit != nil && res.RateLimit.Named {
 		s.cfg.OnRateLimit(server.Key(), res.RateLimit)
 	}
+	if s.cfg.OnPause != nil && res.RetryAfter > 0 {
+		s.cfg.OnPause(server.Key(), res.RetryAfter)
+	}
 	// The address may have been taken over by another server.
 	if s.cfg.OnDraining != nil && res.Draining && res.Server == server.InstanceID {
 		s.cfg.OnDraining(server.Key())
--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -168,6 +168,7 @@
 		Server:      info.Server,
 		WrongServer: info.WrongServer,
 		RateLimit:   info.RateLimit,
+		RetryAfter:  info.RetryAfter,
 		Timing:      e.timing,
 	}, nil
 }
@@ -280,12 +281,29 @@
 	return hr, nil
 }
 
-// ParsePeridotHeaders parses the Peridot-* headers of a response.
-func ParsePeridotHeaders(_ int, h http.Header) HeaderInfo {
+// ParseRetryAfter returns for how long a response asks for no more requests: the number of seconds, decimals included, in Retry-After of a
+// status that means it. It returns 0 for any other response, such as one with a date or a number that is not positive.
+func ParseRetryAfter(status int, h http.Header) time.Duration {
+	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(h.Get("Retry-After")), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
+// maxRetryAfter bounds the result of ParseRetryAfter.
+const maxRetryAfter = time.Hour
+
+// ParsePeridotHeaders parses the Peridot-* headers and Retry-After of a response.
+func ParsePeridotHeaders(status int, h http.Header) HeaderInfo {
 	info := HeaderInfo{
-		Load:     parseLoad(h.Get("Peridot-Load")),
-		Shed:     h.Get("Peridot-Shed") == "true",
-		Draining: h.Get("Peridot-Draining") == "true",
+		RetryAfter: ParseRetryAfter(status, h),
+		Load:       parseLoad(h.Get("Peridot-Load")),
+		Shed:       h.Get("Peridot-Shed") == "true",
+		Draining:   h.Get("Peridot-Draining") == "true",
 	}
 	if info.Shed {
 		// Other responses may carry the id of a call that the server made itself.
--- a/peridot-entry/sender/sender.go
+++ b/peridot-entry/sender/sender.go
@@ -68,6 +68,8 @@
 	// RequestID is the id of the request that the response belongs to; empty when the header has none.
 	RequestID string
 	RateLimit RateLimit
+	// RetryAfter is for how long the server asks for no calls; 0 if it doesn't.
+	RetryAfter time.Duration
 	// InvalidReason is why the response can't be the server's own; empty when it can.
 	InvalidReason string
 }
@@ -86,6 +88,7 @@
 	Server      string
 	WrongServer bool
 	RateLimit   RateLimit
+	RetryAfter  time.Duration
 	Timing      Timing
 }
 
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -104,6 +104,7 @@
 		Members:          s.servingIDs,
 		OnFaulty:         s.recordFaulty,
 		OnDraining:       s.recordDraining,
+		OnPaused:         s.recordPaused,
 		OnRateLimit:      s.recordRateLimit,
 	})
 	s.followerSet = make(chan struct{})
@@ -148,6 +149,7 @@
 		Observe:       s.picker.Observe,
 		OnRateLimit:   s.picker.ObserveRateLimit,
 		OnDraining:    s.picker.MarkDraining,
+		OnPause:       s.picker.Pause,
 		Budget:        s.probeBudget,
 		HasSuitable:   s.picker.HasSuitable,
 		OnUnreachable: s.picker.MarkUnreachable,
@@ -324,6 +326,10 @@
 	s.cfg.Log.Info().Str("server", k.InstanceID).Str("service", k.Service).Msg("backend server says that it drains")
 }
 
+func (s *Routed) recordPaused(k registrar.Key, d time.Duration) {
+	s.cfg.Log.Info().Str("server", k.InstanceID).Str("service", k.Service).Dur("for-ms", d).Msg("backend server asks for a pause")
+}
+
 // recordRateLimit logs that a server's limit has changed, and has it reported at once if this entry learned it from the server.
 func (s *Routed) recordRateLimit(c picker.RateLimitChange) {
 	event := s.cfg.Log.Info().Str("server", c.Key.InstanceID).Str("service", c.Key.Service)
--- a/prover/platform_fleet_test.go
+++ b/prover/platform_fleet_test.go
@@ -199,6 +199,10 @@
 	leaving atomic.Bool
 	// slow makes calls take longer than the service's objective latency.
 	slow atomic.Bool
+	// pause is what the server answers to all calls but probes, without running them; nil to run them. requests are the calls that it got,
+	// and pauses those of them that it refused so, by the entry that sent them.
+	pause            atomic.Pointer[pauseRequest]
+	requests, pauses []entryRequest
 	// rateLimit is the limit that the server names in its responses to calls; nil for none.
 	rateLimit atomic.Pointer[string]
 	// crash ends the server when it runs a call to the path crashPath; nil for a server that doesn't crash.
@@ -313,6 +317,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if s.recordPause(w, req) {
+		return
+	}
 	if s.full.Load() {
 		h.Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -343,6 +350,50 @@
 	_ = json.NewEncoder(w).Encode(id)
 }
 
+// pauseRequest is a refusal that asks for no calls for a time.
+type pauseRequest struct{ retryAfter time.Duration }
+
+// entryRequest is a call that reached a server, with the name of the entry that sent it.
+type entryRequest struct {
+	entry string
+	at    time.Time
+}
+
+// recordPause records a call, whose id begins with the name of the entry that it was sent to, and refuses it if the server asks for a pause.
+func (s *platformServer) recordPause(w http.ResponseWriter, req *http.Request) (refused bool) {
+	entry, _, _ := strings.Cut(req.Header.Get("Request-Id"), "_")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := entryRequest{entry, time.Now()}
+	s.requests = append(s.requests, r)
+	p := s.pause.Load()
+	if p == nil {
+		return false
+	}
+	s.pauses = append(s.pauses, r)
+	w.Header().Set("Request-Id", req.Header.Get("Request-Id"))
+	w.Header().Set("Not-Executed", "1")
+	w.Header().Set("Retry-After", fmt.Sprint(p.retryAfter.Seconds()))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// worstPause returns the most calls that one entry sent between notice after a refusal and the end of the pause that it asked for.
+func (s *platformServer) worstPause(notice, pause time.Duration) (worst int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.pauses {
+		n := 0
+		for _, r := range s.requests {
+			if r.entry == p.entry && r.at.After(p.at.Add(notice)) && r.at.Before(p.at.Add(pause)) {
+				n++
+			}
+		}
+		worst = max(worst, n)
+	}
+	return worst
+}
+
 func (s *platformServer) runs(id string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
