dispatcher: a shared retry budget starts empty

Callers saw: nothing by themselves; servers of a service that refuses calls got more retries than the fleet may send (rule BUDGET) when many entries restart.

Cause: the token bucket of a service started with an advance of three tokens in each process, also where the buckets of all entries together may hold no more than a common slack. With 16 entries each restart of all of them added 48 to a slack of 60.

Change: with a BudgetBurst, a share of a common budget, a service starts without tokens. The product's own interface keeps its advance.

--- a/peridot-entry/dispatcher/budget.go
+++ b/peridot-entry/dispatcher/budget.go
@@ -6,19 +6,22 @@
 )
 
 const (
-	// initialTokens is the number of retries that a service may make before its calls have paid for them. Deposits repay this
-	// advance before they add tokens.
-	initialTokens = 3
+	// defaultAdvance is the default of how many retries a service may make before its calls have paid for them.
+	defaultAdvance = 3
 	// hedgeReserve is the number of tokens that hedges leave to retries of attempts that were shed or failed.
 	hedgeReserve = 5
 	// defaultBurst is the default capacity of the token buckets.
 	defaultBurst = 10
 )
 
+// newBudget returns a budget with an advance, which deposits repay before they add tokens.
+func newBudget(advance, burst float64) *budget {
+	return &budget{total: tokenBucket{tokens: min(advance, burst), debt: advance}}
+}
+
 // budget limits the retries and hedges for a service at this entry to a share of its calls.
 type budget struct {
-	mu      sync.Mutex
-	started bool
+	mu sync.Mutex
 	// Every retry and hedge takes a token from total; a hedge takes one from hedges too.
 	total  tokenBucket
 	hedges tokenBucket
@@ -42,10 +45,6 @@
 func (b *budget) deposit(retryShare, hedgeShare, burst float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.started {
-		b.started = true
-		b.total = tokenBucket{tokens: min(initialTokens, burst), debt: initialTokens}
-	}
 	b.total.deposit(max(retryShare, hedgeShare), burst)
 	b.hedges.deposit(hedgeShare, burst)
 }
--- a/peridot-entry/dispatcher/dispatcher.go
+++ b/peridot-entry/dispatcher/dispatcher.go
@@ -27,7 +27,8 @@
 	Send  func(context.Context, *sender.Request) (*sender.Response, error)
 	// SetHeaders sets the request headers that describe an attempt to the backend server; SetPeridotHeaders when nil.
 	SetHeaders func(h http.Header, info AttemptInfo)
-	// BudgetBurst returns how many tokens for retries and hedges a service may accumulate; 10 when nil.
+	// BudgetBurst returns how many tokens for retries and hedges a service may accumulate; 10 when nil. With a BudgetBurst, which is a share of
+	// what all entries may spend, a service starts without tokens: an earlier process of this entry may have spent its share just now.
 	BudgetBurst func() float64
 	// RunAtMostOnce runs an at-most-once call under its claim. It calls run, which makes the attempts, at most once. It is required
 	// only for calls whose rule is at-most-once.
@@ -36,7 +37,9 @@
 
 // Dispatcher forwards calls to backend servers; it is safe for concurrent use.
 type Dispatcher struct {
-	cfg      Config
+	cfg Config
+	// advance is the number of tokens with which a service starts.
+	advance  float64
 	mu       sync.RWMutex
 	services map[string]*serviceState
 }
@@ -49,10 +52,11 @@
 	if cfg.SetHeaders == nil {
 		cfg.SetHeaders = SetPeridotHeaders
 	}
+	advance := 0.0
 	if cfg.BudgetBurst == nil {
-		cfg.BudgetBurst = func() float64 { return defaultBurst }
+		advance, cfg.BudgetBurst = defaultAdvance, func() float64 { return defaultBurst }
 	}
-	return &Dispatcher{cfg: cfg, services: make(map[string]*serviceState)}
+	return &Dispatcher{cfg: cfg, advance: advance, services: make(map[string]*serviceState)}
 }
 
 // Do runs one call and returns the response to it. The error is an *Error.
@@ -93,7 +97,7 @@
 
 // serviceState is the state that this entry keeps for a service across calls.
 type serviceState struct {
-	budget  budget
+	budget  *budget
 	latency quantile
 }
 
@@ -107,7 +111,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s = d.services[name]; s == nil {
-		s = &serviceState{}
+		s = &serviceState{budget: newBudget(d.advance, d.cfg.BudgetBurst())}
 		d.services[name] = s
 	}
 	return s
--- a/peridot-entry/dispatcher/dispatcher_test.go
+++ b/peridot-entry/dispatcher/dispatcher_test.go
@@ -156,6 +156,24 @@
 	}
 }
 
+// An entry that shares a budget with others must not get tokens by a restart.
+func TestSharedRetryBudgetStartsEmpty(t *testing.T) {
+	const calls, burst = 100, 4
+	d, sent, _ := newTestDispatcher(respondShed)
+	cfg := d.cfg
+	cfg.BudgetBurst = func() float64 { return burst }
+	for range calls / 10 {
+		// A new process for each ten calls.
+		d = New(cfg)
+		for range 10 {
+			_, _ = d.Do(context.Background(), newCall(parser.OncePerSend))
+		}
+	}
+	if retries := sent.Load() - calls; retries > calls/10 {
+		t.Errorf("%d retries for %d calls of an entry that restarts, want at most %d", retries, calls, calls/10)
+	}
+}
+
 func TestAttemptHeaders(t *testing.T) {
 	for name, tt := range map[string]struct {
 		retry bool
--- a/prover/platform_fleet_test.go
+++ b/prover/platform_fleet_test.go
@@ -353,31 +353,56 @@
 // pauseRequest is a refusal that asks for no calls for a time.
 type pauseRequest struct{ retryAfter time.Duration }
 
-// entryRequest is a call that reached a server, with the name of the entry that sent it.
+// entryRequest is a call that reached a server, with its id and the name of the entry that sent it.
 type entryRequest struct {
-	entry string
-	at    time.Time
+	id, entry string
+	at        time.Time
 }
 
 // recordPause records a call, whose id begins with the name of the entry that it was sent to, and refuses it if the server asks for a pause.
 func (s *platformServer) recordPause(w http.ResponseWriter, req *http.Request) (refused bool) {
-	entry, _, _ := strings.Cut(req.Header.Get("Request-Id"), "_")
+	id := req.Header.Get("Request-Id")
+	entry, _, _ := strings.Cut(id, "_")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := entryRequest{entry, time.Now()}
+	r := entryRequest{id, entry, time.Now()}
 	s.requests = append(s.requests, r)
 	p := s.pause.Load()
 	if p == nil {
 		return false
 	}
 	s.pauses = append(s.pauses, r)
-	w.Header().Set("Request-Id", req.Header.Get("Request-Id"))
+	w.Header().Set("Request-Id", id)
 	w.Header().Set("Not-Executed", "1")
 	w.Header().Set("Retry-After", fmt.Sprint(p.retryAfter.Seconds()))
 	w.WriteHeader(http.StatusServiceUnavailable)
 	return true
 }
 
+// repeats returns the times at which a call reached a server that had reached one before.
+func (f *platformFleet) repeats() (repeats []time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first := make(map[string]time.Time)
+	var all []entryRequest
+	for _, s := range f.servers {
+		s.mu.Lock()
+		all = append(all, s.requests...)
+		s.mu.Unlock()
+	}
+	for _, r := range all {
+		if t, seen := first[r.id]; !seen || r.at.Before(t) {
+			first[r.id] = r.at
+		}
+	}
+	for _, r := range all {
+		if r.at.After(first[r.id]) {
+			repeats = append(repeats, r.at)
+		}
+	}
+	return repeats
+}
+
 // worstPause returns the most calls that one entry sent between notice after a refusal and the end of the pause that it asked for.
 func (s *platformServer) worstPause(notice, pause time.Duration) (worst int) {
 	s.mu.Lock()
