dispatcher: begin no attempt that the entry's stop would cut off

Callers saw (report of operators of a similar system): in a planned stop of one entry, calls that came late in the grace were taken and sent on, and cut with no answer at its end, orders among them.

Cause: a stopping entry took calls for a fixed time, whether or not they could end, and looked only when the head of a request had been read. Waits for a slot, slow bodies and retries came after that.

Change: before each attempt the dispatcher compares the time until the stop with the longest of the service's recent latencies. What doesn't fit is refused at once as not run, so that another entry can run it.

--- a/peridot-entry/dispatcher/budget.go
+++ b/peridot-entry/dispatcher/budget.go
@@ -100,3 +100,28 @@
 	defer q.mu.Unlock()
 	return time.Duration(q.estimate), q.samples >= minSamples
 }
+
+// peakDecay is the share of its distance to a lower latency that a peak loses with each response.
+const peakDecay = 0.05
+
+// peak follows the longest of the recent latencies: it rises to a higher one at once.
+type peak struct {
+	mu      sync.Mutex
+	latency time.Duration
+}
+
+func (p *peak) observe(latency time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if latency < p.latency {
+		latency = p.latency - time.Duration(peakDecay*float64(p.latency-latency))
+	}
+	p.latency = latency
+}
+
+// value returns the peak, or 0 without a response.
+func (p *peak) value() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.latency
+}
--- a/peridot-entry/dispatcher/dispatcher.go
+++ b/peridot-entry/dispatcher/dispatcher.go
@@ -30,6 +30,8 @@
 	// BudgetBurst returns how many tokens for retries and hedges a service may accumulate; 10 when nil. With a BudgetBurst, which is a share of
 	// what all entries may spend, a service starts without tokens: an earlier process of this entry may have spent its share just now.
 	BudgetBurst func() float64
+	// StopAt returns the time by which all calls must have ended because this entry stops then; zero, as when nil, while it doesn't.
+	StopAt func() time.Time
 	// RunAtMostOnce runs an at-most-once call under its claim. It calls run, which makes the attempts, at most once. It is required
 	// only for calls whose rule is at-most-once.
 	RunAtMostOnce func(ctx context.Context, c *Call, run func(context.Context) (*Response, error)) (*Response, error)
@@ -52,6 +54,9 @@
 	if cfg.SetHeaders == nil {
 		cfg.SetHeaders = SetPeridotHeaders
 	}
+	if cfg.StopAt == nil {
+		cfg.StopAt = func() time.Time { return time.Time{} }
+	}
 	advance := 0.0
 	if cfg.BudgetBurst == nil {
 		advance, cfg.BudgetBurst = defaultAdvance, func() float64 { return defaultBurst }
@@ -99,6 +104,7 @@
 type serviceState struct {
 	budget  *budget
 	latency quantile
+	slowest peak
 }
 
 func (d *Dispatcher) service(name string) *serviceState {
--- a/peridot-entry/dispatcher/dispatcher_test.go
+++ b/peridot-entry/dispatcher/dispatcher_test.go
@@ -549,3 +549,69 @@
 		t.Errorf("%d attempts in %v, cause %q", sent.Load(), took, c.Trace.Cause)
 	}
 }
+
+// A stopping entry must not begin an attempt that its stop would cut off, in particular no call that may run only once.
+func TestCallThatWouldOutlastTheStopIsRefused(t *testing.T) {
+	const latency = 30 * time.Millisecond
+	slow := func(ctx context.Context, r *sender.Request) (*sender.Response, error) {
+		time.Sleep(latency)
+		return respond(200)(ctx, r)
+	}
+	tests := map[string]struct {
+		// left is the time until the stop; 0 for an entry that doesn't stop.
+		left time.Duration
+		// warm is set if the service has been called before. objective and deadline are those of the call.
+		warm                bool
+		objective, deadline time.Duration
+		wantSent            bool
+	}{
+		"no stop":                              {0, true, time.Minute, time.Minute, true},
+		"enough time":                          {time.Second, true, time.Minute, time.Minute, true},
+		"too little time":                      {latency / 2, true, time.Minute, time.Minute, false},
+		"the stop has come":                    {-time.Millisecond, true, time.Minute, time.Minute, false},
+		"an unknown service, enough time":      {time.Minute, false, time.Second, time.Minute, true},
+		"an unknown service, too little time":  {time.Second, false, time.Minute, time.Hour, false},
+		"the caller's deadline is before that": {time.Second, false, time.Minute, 500 * time.Millisecond, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, sent, _ := newTestDispatcher(slow)
+			if tt.warm {
+				if _, err := d.Do(context.Background(), newCall(parser.OncePerSend)); err != nil {
+					t.Fatal(err)
+				}
+				sent.Store(0)
+			}
+			if tt.left != 0 {
+				at := time.Now().Add(tt.left)
+				d.cfg.StopAt = func() time.Time { return at }
+			}
+			c := newCall(parser.OncePerSend)
+			c.Rule.Objective, c.Deadline = parser.Duration(tt.objective), time.Now().Add(tt.deadline)
+			_, err := d.Do(context.Background(), c)
+			if (err == nil) != tt.wantSent || (sent.Load() > 0) != tt.wantSent {
+				t.Fatalf("error %v after %d attempts, want an attempt: %v", err, sent.Load(), tt.wantSent)
+			}
+			var e *Error
+			if err != nil && (!errors.As(err, &e) || e.Outcome != NotRun || e.Status != http.StatusServiceUnavailable || c.Trace.Cause != "stopping") {
+				t.Errorf("error is %+v with cause %q, want a refusal", err, c.Trace.Cause)
+			}
+		})
+	}
+}
+
+func TestPeak(t *testing.T) {
+	p := &peak{}
+	for _, ms := range []int{100, 900, 100} {
+		p.observe(time.Duration(ms) * time.Millisecond)
+	}
+	if got, want := p.value(), 860*time.Millisecond; got != want {
+		t.Errorf("after a slow response and one more, the peak is %v, want %v", got, want)
+	}
+	for range 100 {
+		p.observe(100 * time.Millisecond)
+	}
+	if got := p.value(); got > 110*time.Millisecond {
+		t.Errorf("long after a slow response, the peak is %v", got)
+	}
+}
--- a/peridot-entry/dispatcher/execution.go
+++ b/peridot-entry/dispatcher/execution.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -120,16 +121,13 @@
 	return nil
 }
 
-// pickServer waits for a permit and picks a backend server. A deferrable call keeps trying until a server has free slots.
+// pickServer waits for a permit and picks a backend server, unless this entry stops before the attempt would end. A deferrable call keeps trying until a server has free slots.
 func (x *execution) pickServer(ctx context.Context) (*picker.Choice, error) {
 	deferrable := x.call.Rule.Priority == parser.Deferrable
 	allowFaulty := false
 	for {
-		if x.permit == nil {
-			var err error
-			if x.permit, err = x.d.cfg.Acquire(ctx, x.call.limiterRequest()); err != nil {
-				return nil, err
-			}
+		if err := x.acquirePermit(ctx); err != nil {
+			return nil, err
 		}
 		choice, err := x.probeAndPick(ctx, allowFaulty)
 		if err == nil {
@@ -152,6 +150,32 @@
 	}
 }
 
+// acquirePermit waits for a permit unless the execution has one.
+func (x *execution) acquirePermit(ctx context.Context) (err error) {
+	if x.wouldOutlastStop() {
+		x.releasePermit(false)
+		return errStopping
+	}
+	if x.permit == nil {
+		x.permit, err = x.d.cfg.Acquire(ctx, x.call.limiterRequest())
+	}
+	return err
+}
+
+// stopMargin is how many times the longest of the recent attempts must fit in the time until this entry stops.
+const stopMargin = 1.1
+
+// wouldOutlastStop reports whether an attempt that begins now is likely to be cut off by the stop of this entry. Another entry can still run the
+// call.
+func (x *execution) wouldOutlastStop() bool {
+	stop := x.d.cfg.StopAt()
+	if stop.IsZero() {
+		return false
+	}
+	longest := cmp.Or(x.service.slowest.value(), x.call.Rule.Objective.Std())
+	return time.Until(stop) < min(time.Duration(stopMargin*float64(longest)), x.call.remaining())
+}
+
 // probeAndPick picks a server among a few that were probed, once.
 func (x *execution) probeAndPick(ctx context.Context, allowFaulty bool) (*picker.Choice, error) {
 	req := picker.Request{
@@ -227,6 +251,7 @@
 	x.call.Trace.Attempts = append(x.call.Trace.Attempts, a.trace)
 	if a.response != nil {
 		x.service.latency.observe(a.latency)
+		x.service.slowest.observe(a.latency)
 		return
 	}
 	x.lastErr = a.err
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -71,6 +71,7 @@
 	log      *callLog
 	stopping atomic.Bool
 	refusing atomic.Bool
+	stopTime stopTime
 	// followerSet is closed once the fields follower and stats are set.
 	followerSet chan struct{}
 	// synchronised is set once control has sent the table of backend servers. initialized is closed once routes are known as well.
@@ -129,6 +130,7 @@
 		Send:        s.quarantiner.Send,
 		SetHeaders:  cfg.SetHeaders,
 		BudgetBurst: s.budgetBurst,
+		StopAt:      s.stopTime.get,
 	})
 	s.serve(callers, operators, d)
 	cfg.Log.Info().Str("listen", cfg.Listen).Str("operator-listen", cfg.OperatorListen).Msg("entry started")
@@ -222,6 +224,7 @@
 // them for half as long, and then waits for calls in flight until ctx ends.
 func (s *Routed) Close(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessage(err, "stop entry") }()
+	s.stopTime.set(ctx)
 	s.stopping.Store(true)
 	s.follower.ReportNow()
 	s.cfg.Log.Info().Dur("lame-duck-ms", s.cfg.LameDuck).Msg("entry stopping")
--- a/peridot-entry/supervisor/supervisor.go
+++ b/peridot-entry/supervisor/supervisor.go
@@ -72,6 +72,7 @@
 	claimer     *claimer.Claimer
 	orderer     *orderer.Orderer
 	stopping    atomic.Bool
+	stopTime    stopTime
 }
 
 // New starts an entry.
@@ -112,6 +113,7 @@
 		Pick:          s.picker.Pick,
 		Send:          s.quarantiner.Send,
 		RunAtMostOnce: s.orderer.Do,
+		StopAt:        s.stopTime.get,
 	})
 	s.receiver = receiver.New(receiver.Config{
 		Listener:      l.callers,
@@ -135,6 +137,7 @@
 // waits for calls in flight until ctx ends.
 func (s *Supervisor) Close(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessage(err, "stop entry") }()
+	s.stopTime.set(ctx)
 	s.stopping.Store(true)
 	s.cfg.Log.Info().Dur("lame-duck-ms", s.cfg.LameDuck).Msg("entry stopping")
 	select {
--- a/prover/platform_fleet_test.go
+++ b/prover/platform_fleet_test.go
@@ -188,7 +188,8 @@
 	listener    net.Listener
 	startedMs   int64
 	seq         atomic.Int64
-	serviceTime time.Duration
+	// serviceTime is in nanoseconds.
+	serviceTime atomic.Int64
 	mu          sync.Mutex
 	runCounts   map[string]int
 	lastRun     time.Time
@@ -231,7 +232,7 @@
 		s.stop()
 		time.AfterFunc(down, func() {
 			defer GinkgoRecover()
-			f.startCrashing(f.newServer(s.address, s.serviceTime), path, down, onCrash)
+			f.startCrashing(f.newServer(s.address, time.Duration(s.serviceTime.Load())), path, down, onCrash)
 		})
 	})
 	f.start(s)
@@ -244,12 +245,16 @@
 		l, err = net.Listen("tcp", address)
 		return err
 	}, "5s", "50ms").Should(Succeed())
-	return &platformServer{
+	s := &platformServer{
 		id: fmt.Sprintf("i-%d", lastServer.Add(1)), address: l.Addr().String(), listener: l, startedMs: time.Now().UnixMilli(),
-		serviceTime: serviceTime, runCounts: make(map[string]int),
+		runCounts: make(map[string]int),
 	}
+	s.setServiceTime(serviceTime)
+	return s
 }
 
+func (s *platformServer) setServiceTime(d time.Duration) { s.serviceTime.Store(int64(d)) }
+
 // stopServers stops all servers, and those that are about to start again.
 func (f *platformFleet) stopServers() {
 	f.mu.Lock()
@@ -334,7 +339,7 @@
 	if limit := s.rateLimit.Load(); limit != nil {
 		h.Set("Server-Limit", *limit)
 	}
-	time.Sleep(s.serviceTime)
+	time.Sleep(time.Duration(s.serviceTime.Load()))
 	if s.crash != nil && req.URL.Path == s.crashPath {
 		s.crash()
 		panic(http.ErrAbortHandler)
