prover: no call runs twice when servers write a refusal once more

A copy of a refusal that passes for the response to the next call causes both.

No change to the product.

--- a/prover/platform_fleet_test.go
+++ b/prover/platform_fleet_test.go
@@ -204,6 +204,8 @@
 	// and pauses those of them that it refused so, by the entry that sent them.
 	pause            atomic.Pointer[pauseRequest]
 	requests, pauses []entryRequest
+	// refuseAgain makes the server refuse a call on each connection, and write the refusal once more when it has read the next call.
+	refuseAgain atomic.Bool
 	// rateLimit is the limit that the server names in its responses to calls; nil for none.
 	rateLimit atomic.Pointer[string]
 	// crash ends the server when it runs a call to the path crashPath; nil for a server that doesn't crash.
@@ -325,6 +327,10 @@
 	if s.recordPause(w, req) {
 		return
 	}
+	if s.refuseAgain.Load() {
+		s.serveRefusedAgain(w)
+		return
+	}
 	if s.full.Load() {
 		h.Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -355,6 +361,36 @@
 	_ = json.NewEncoder(w).Encode(id)
 }
 
+// serveRefusedAgain refuses the current call, and serves the next ones on its connection, the first of them after a copy of the refusal.
+func (s *platformServer) serveRefusedAgain(w http.ResponseWriter) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	conn, rw, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	write := func(text string) {
+		_, _ = rw.WriteString(text)
+		_ = rw.Flush()
+	}
+	write(refusal)
+	for first := true; ; first = false {
+		req, err := http.ReadRequest(rw.Reader)
+		if err != nil {
+			return
+		}
+		if first {
+			write(refusal)
+		}
+		id := req.Header.Get("Request-Id")
+		s.mu.Lock()
+		s.runCounts[id]++
+		s.mu.Unlock()
+		time.Sleep(time.Duration(s.serviceTime.Load()))
+		write(fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp-%s\r\nContent-Length: 2\r\n\r\nok", id, id))
+	}
+}
+
 // pauseRequest is a refusal that asks for no calls for a time.
 type pauseRequest struct{ retryAfter time.Duration }
 
--- a/prover/platform_test.go
+++ b/prover/platform_test.go
@@ -78,6 +78,43 @@
 		Expect(body).To(And(ContainSubstring(f.entries[0].ip), ContainSubstring(f.entries[1].ip), ContainSubstring("ttl_s")))
 	})
 
+	// Guards against a copy of a refusal that passes for the response to a later call, which the server runs: that call would run twice or be
+	// refused although it runs.
+	It("runs no unsafe call twice and refuses none that runs when servers write a refusal once more", func() {
+		f := newPlatformFleet(3, 2)
+		Expect(f.putConfig(configJSON(7))).To(Equal(http.StatusOK))
+		for range 3 {
+			f.addServer(20 * time.Millisecond)
+		}
+		f.waitServing()
+		for _, s := range f.servers {
+			s.refuseAgain.Store(true)
+		}
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		var twice, untrue []string
+		for i := range 400 {
+			wg.Go(func() {
+				id := fmt.Sprintf("order-%d", i)
+				status, _ := f.entries[i%2].send(http.MethodPost, "/o/x", id)
+				// A second run may still be under way.
+				time.Sleep(200 * time.Millisecond)
+				mu.Lock()
+				defer mu.Unlock()
+				switch n := f.runs(id); {
+				case n > 1:
+					twice = append(twice, id)
+				case n == 1 && status == http.StatusServiceUnavailable:
+					untrue = append(untrue, id)
+				}
+			})
+			time.Sleep(5 * time.Millisecond)
+		}
+		wg.Wait()
+		Expect(twice).To(BeEmpty())
+		Expect(untrue).To(BeEmpty())
+	})
+
 	It("keeps the highest configuration version when all control members are killed, and refuses reads without a majority", func() {
 		f := newPlatformFleet(3, 1)
 		Expect(f.putConfig(configJSON(7))).To(Equal(http.StatusOK))
