dispatcher: Retry-After of a call to paused servers with no time left

A call whose deadline has passed and that only paused servers could take would have ended its goroutine: rand.N panics for a delay of 0. Found by reading the change. The delay is random already, so it is added as it is.

--- a/peridot-entry/dispatcher/dispatcher_test.go
+++ b/peridot-entry/dispatcher/dispatcher_test.go
@@ -537,6 +537,11 @@
 	const pause = 1500 * time.Millisecond
 	d, sent, _ := newTestDispatcher(respond(200))
 	d.cfg.Pick = func(picker.Request) (*picker.Choice, error) { return nil, &picker.PausedError{RetryAfter: pause} }
+	expired := newCall(parser.OncePerSend)
+	expired.Rule.Objective, expired.Deadline = parser.Duration(time.Minute), time.Now()
+	if _, err := d.Do(context.Background(), expired); err == nil {
+		t.Error("a call without time left was run")
+	}
 	c := newCall(parser.OncePerSend)
 	c.Rule.Objective = parser.Duration(time.Minute)
 	begin := time.Now()
--- a/peridot-entry/dispatcher/execution.go
+++ b/peridot-entry/dispatcher/execution.go
@@ -121,7 +121,8 @@
 	return nil
 }
 
-// pickServer waits for a permit and picks a backend server, unless this entry stops before the attempt would end. A deferrable call keeps trying until a server has free slots.
+// pickServer waits for a permit and picks a backend server, unless this entry stops before the attempt would end. A deferrable call keeps
+// trying until a server has free slots.
 func (x *execution) pickServer(ctx context.Context) (*picker.Choice, error) {
 	deferrable := x.call.Rule.Priority == parser.Deferrable
 	allowFaulty := false
--- a/peridot-entry/dispatcher/failure.go
+++ b/peridot-entry/dispatcher/failure.go
@@ -101,7 +101,7 @@
 	case errors.Is(err, errStopping):
 		e.Status = http.StatusServiceUnavailable
 	case errors.As(err, &paused):
-		e.Status, e.RetryAfter = http.StatusServiceUnavailable, paused.RetryAfter+rand.N(x.retryAfterDelay())
+		e.Status, e.RetryAfter = http.StatusServiceUnavailable, paused.RetryAfter+x.retryAfterDelay()
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		e.Status = http.StatusGatewayTimeout
 	case errors.Is(err, errShed), errors.Is(err, picker.ErrNoServer), errors.Is(err, picker.ErrFull), errors.Is(err, picker.ErrRateLimited):
