prover: specs of leaving and paused servers wait until entries know all servers

Its logs show that front-1 had the leaving server alone on its list when that one began to say so; the other three came 17 ms later, and the call in between was refused as not run, which is right. A flaw of the spec's setup: it waited for one server. It waits for all of them now; what the specs check stays as it was.

--- a/prover/platform_fleet_test.go
+++ b/prover/platform_fleet_test.go
@@ -484,3 +484,13 @@
 		Eventually(func() int { status, _ := e.send(http.MethodGet, "/s/x", "warm"); return status }, "20s", "50ms").Should(Equal(http.StatusOK))
 	}
 }
+
+// waitServersKnown waits until every entry has all servers on its list.
+func (f *platformFleet) waitServersKnown() {
+	GinkgoHelper()
+	for _, e := range f.entries {
+		for _, s := range f.servers {
+			Eventually(func() bool { return strings.Contains(e.output.String(), fmt.Sprintf("%q:%q", "server", s.id)) }, "20s", "20ms").Should(BeTrue())
+		}
+	}
+}
--- a/prover/platform_leaving_test.go
+++ b/prover/platform_leaving_test.go
@@ -23,6 +23,7 @@
 			f.addServer(10 * time.Millisecond)
 		}
 		f.waitServing()
+		f.waitServersKnown()
 	})
 
 	// sendCalls sends unsafe calls to both entries for d and returns how many had no successful response.
--- a/prover/platform_paused_test.go
+++ b/prover/platform_paused_test.go
@@ -25,6 +25,7 @@
 			f.addServer(10 * time.Millisecond)
 		}
 		f.waitServing()
+		f.waitServersKnown()
 	})
 
 	// sendCalls sends calls to both entries for d and returns how many got each status and the longest time that a refusal took.
