sender: tell which request on its connection an attempt was, and whether a refusal named it

The log of a call said only that a backend server shed it. Each attempt now has both, and a response that is dropped since it names another request is counted and logged, at most five a second.

No logic changes. Error.Reused became Error.Exchange > 1.

--- a/peridot-entry/accountant/meter.go
+++ b/peridot-entry/accountant/meter.go
@@ -1,6 +1,7 @@
 package accountant
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -17,13 +18,15 @@
 	// probes are counters by service and result, refusals by service and cause.
 	probes   map[labelValues]tally.Counter
 	refusals map[labelValues]tally.Counter
+	// strays are counters by service and whether the response named a request.
+	strays map[labelValues]tally.Counter
 	// faulty, crashes and limited are counters by service.
 	faulty  map[string]tally.Counter
 	crashes map[string]tally.Counter
 	limited map[string]tally.Counter
 }
 
-// labelValues are the service label and the value of the other label of a metric: outcome, result or cause.
+// labelValues are the service label and the value of the other label of a metric: outcome, result, cause or named.
 type labelValues struct{ service, value string }
 
 // callMetrics are the metrics of the calls with one service and outcome.
@@ -44,7 +47,7 @@
 func NewMeter(scope tally.Scope) *Meter {
 	return &Meter{
 		scope: scope, calls: make(map[labelValues]*callMetrics), probes: make(map[labelValues]tally.Counter),
-		refusals: make(map[labelValues]tally.Counter), faulty: make(map[string]tally.Counter),
+		refusals: make(map[labelValues]tally.Counter), strays: make(map[labelValues]tally.Counter), faulty: make(map[string]tally.Counter),
 		crashes: make(map[string]tally.Counter), limited: make(map[string]tally.Counter),
 	}
 }
@@ -72,6 +75,11 @@
 	m.counter(m.probes, "probes", "result", labelValues{service, result}).Inc(1)
 }
 
+// RecordStray counts a response that was dropped because it belongs to no request in flight; named says whether it has a request id.
+func (m *Meter) RecordStray(service string, named bool) {
+	m.counter(m.strays, "stray_responses", "named", labelValues{service, strconv.FormatBool(named)}).Inc(1)
+}
+
 // RecordFaulty counts a backend server that has become faulty.
 func (m *Meter) RecordFaulty(service string) { m.countServer(m.faulty, "faulty_servers", service) }
 
--- a/peridot-entry/dispatcher/attempt.go
+++ b/peridot-entry/dispatcher/attempt.go
@@ -40,11 +40,13 @@
 		var se *sender.Error
 		if errors.As(err, &se) {
 			a.setTiming(se.Timing)
+			a.trace.Exchange = se.Exchange
 		}
 		a.fail(ctx, req, err, picker.Result{}, s)
 		return
 	}
 	a.setTiming(res.Timing)
+	a.trace.Exchange = res.Exchange
 	if res.Draining {
 		a.choice.MarkDraining()
 	}
@@ -57,6 +59,7 @@
 	if err == nil && res.Shed {
 		err = errShed
 		body.Close()
+		a.trace.Refusal = refusalKind(res)
 	}
 	result := picker.Result{Status: res.Status, Shed: res.Shed && !res.WrongServer, Closing: res.Closing, Unreachable: res.WrongServer, Load: res.Load, RateLimit: res.RateLimit}
 	if err != nil {
@@ -74,6 +77,13 @@
 	a.response = &Response{Outcome: Ran, Status: res.Status, Header: res.Header, Body: body, Trailer: res.Trailer, Attempts: a.n}
 }
 
+func refusalKind(res *sender.Response) string {
+	if res.Named {
+		return tracer.NamedRefusal
+	}
+	return tracer.UnnamedRefusal
+}
+
 func (a *attempt) setTiming(t sender.Timing) {
 	a.trace.Connect, a.trace.Send, a.trace.Wait = t.Connect, t.Send, t.Wait
 }
--- a/peridot-entry/scout/scout.go
+++ b/peridot-entry/scout/scout.go
@@ -208,7 +208,7 @@
 	}
 	res, err := s.cfg.Send(ctx, req)
 	var se *sender.Error
-	if errors.As(err, &se) && se.Reused && ctx.Err() == nil {
+	if errors.As(err, &se) && se.IsReused() && ctx.Err() == nil {
 		// The server had closed or forgotten the idle connection, which says nothing about the server.
 		req.FreshConnection = true
 		res, err = s.cfg.Send(ctx, req)
--- a/peridot-entry/scout/scout_test.go
+++ b/peridot-entry/scout/scout_test.go
@@ -117,12 +117,12 @@
 // A server may forget idle connections: a probe on one is then reset, which must not exclude the server.
 func TestProbeOnForgottenConnectionIsRepeated(t *testing.T) {
 	tests := map[string]struct {
-		reused bool
-		sends  int
-		ok     bool
+		exchange int
+		sends    int
+		ok       bool
 	}{
-		"reset on an idle connection": {true, 2, true},
-		"reset on a new connection":   {false, 1, false},
+		"reset on an idle connection": {2, 2, true},
+		"reset on a new connection":   {1, 1, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -131,7 +131,7 @@
 				Send: func(_ context.Context, r *sender.Request) (*sender.Response, error) {
 					sends++
 					if !r.FreshConnection {
-						return nil, &sender.Error{Phase: sender.Waiting, Reused: tt.reused, Err: errors.New("reset")}
+						return nil, &sender.Error{Phase: sender.Waiting, Exchange: tt.exchange, Err: errors.New("reset")}
 					}
 					return &sender.Response{Load: &sender.Load{Slots: 6}, Body: io.NopCloser(strings.NewReader(""))}, nil
 				},
--- a/peridot-entry/sender/conn.go
+++ b/peridot-entry/sender/conn.go
@@ -26,7 +26,8 @@
 	lastResponse time.Time
 	// maxIdle is how long the connection may be idle.
 	maxIdle time.Duration
-	calls   int
+	// exchanges counts the requests that the connection was taken for, the current one included.
+	exchanges int
 	// wrote is set before the first byte of the current call may be sent, received once the first byte of its response has been read.
 	wrote    atomic.Bool
 	received bool
@@ -70,8 +71,8 @@
 // interrupt makes pending reads and writes fail.
 func (c *conn) interrupt() { _ = c.SetDeadline(time.Unix(1, 0)) }
 
-func (c *conn) beginCall() {
-	c.calls++
+func (c *conn) beginExchange() {
+	c.exchanges++
 	c.received = false
 	c.wrote.Store(false)
 }
--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -12,12 +12,15 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"peridotswitch.example/peridot-entry/registrar"
 )
 
 // exchange is one request and its response on one connection.
 type exchange struct {
 	begin     time.Time
 	cfg       *Config
+	server    registrar.Key
 	requestID string
 	probe     bool
 	conn      *conn
@@ -62,6 +65,7 @@
 			}
 			return res, nil
 		}
+		e.reportStray(res.StatusCode)
 		// More unsolicited responses may follow on this connection.
 		e.conn.broken = true
 		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStaleBytes))
@@ -72,6 +76,13 @@
 	return nil, errStale
 }
 
+// reportStray reports that the response whose header was read last is dropped.
+func (e *exchange) reportStray(status int) {
+	if e.cfg.OnStray != nil {
+		e.cfg.OnStray(Stray{Server: e.server, RequestID: e.requestID, Status: status, NamedID: e.info.RequestID, Exchange: e.conn.exchanges})
+	}
+}
+
 // isOwn reports whether the response belongs to this request. Probes have no id, so that a response with one is an earlier call's.
 func (e *exchange) isOwn() bool {
 	if e.probe && e.requestID == "" {
@@ -169,6 +180,8 @@
 		WrongServer: info.WrongServer,
 		RateLimit:   info.RateLimit,
 		RetryAfter:  info.RetryAfter,
+		Named:       info.RequestID != "",
+		Exchange:    e.conn.exchanges,
 		Timing:      e.timing,
 	}, nil
 }
@@ -187,7 +200,7 @@
 		e.stop()
 	}
 	out.Written = e.conn.wrote.Load()
-	out.Reused = e.conn.calls > 1
+	out.Exchange = e.conn.exchanges
 	if e.isSilent(ctx) {
 		e.conn.host.markSuspect(e.begin)
 	}
--- a/peridot-entry/sender/pool.go
+++ b/peridot-entry/sender/pool.go
@@ -63,7 +63,7 @@
 		return nil, errNoConnection
 	}
 	if c != nil {
-		c.beginCall()
+		c.beginExchange()
 		return c, nil
 	}
 	nc, err := p.dialer.DialContext(ctx, "tcp", req.Address)
@@ -72,7 +72,7 @@
 		return nil, err
 	}
 	c = newConn(nc, h, time.Now())
-	c.beginCall()
+	c.beginExchange()
 	return c, nil
 }
 
--- a/peridot-entry/sender/sender.go
+++ b/peridot-entry/sender/sender.go
@@ -89,7 +89,23 @@
 	WrongServer bool
 	RateLimit   RateLimit
 	RetryAfter  time.Duration
-	Timing      Timing
+	// Named is true when the response names the request that it belongs to.
+	Named bool
+	// Exchange is the number of the request on its connection, from 1, probes included.
+	Exchange int
+	Timing   Timing
+}
+
+// Stray is a response that belongs to no request in flight and was dropped.
+type Stray struct {
+	Server registrar.Key
+	// RequestID is the id of the request whose response was awaited; empty for a probe.
+	RequestID string
+	Status    int
+	// NamedID is the request id in the response; empty when it has none.
+	NamedID string
+	// Exchange is the number of the awaited request on its connection, from 1.
+	Exchange int
 }
 
 // Timing splits the time of one attempt up to the response's header.
@@ -117,8 +133,8 @@
 	// call.
 	Written bool
 	Timing  Timing
-	// Reused is true when the connection had carried a call before.
-	Reused bool
+	// Exchange is the number of the request on its connection, from 1, probes included; 0 when there was no connection.
+	Exchange int
 	// Unreachable is true when dialing failed for a reason other than the end of the call's context.
 	Unreachable bool
 	Err         error
@@ -130,6 +146,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// IsReused reports whether the connection had carried a request before.
+func (e *Error) IsReused() bool { return e.Exchange > 1 }
+
 // IsConnectionLost reports whether the backend server closed or reset the connection after some of the call had been written.
 func (e *Error) IsConnectionLost() bool {
 	if !e.Written {
@@ -153,6 +172,8 @@
 	ParseHeaders func(status int, h http.Header) HeaderInfo
 	// AllowCloseDelimited accepts responses whose body ends when the connection is closed.
 	AllowCloseDelimited bool
+	// OnStray is called with each response that belongs to no request in flight; may be nil.
+	OnStray func(Stray)
 }
 
 const (
@@ -230,7 +251,7 @@
 
 // Do sends one attempt and returns once the response's header has been read. The error is an *Error.
 func (s *Sender) Do(ctx context.Context, req *Request) (*Response, error) {
-	e := &exchange{begin: time.Now(), cfg: &s.cfg, requestID: req.ID, probe: req.Probe}
+	e := &exchange{begin: time.Now(), cfg: &s.cfg, server: req.Server, requestID: req.ID, probe: req.Probe}
 	hr, err := newRequest(req)
 	if err != nil {
 		return nil, e.fail(ctx, Connecting, err)
--- a/peridot-entry/sender/sender_test.go
+++ b/peridot-entry/sender/sender_test.go
@@ -15,6 +15,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
+
+	"peridotswitch.example/peridot-entry/registrar"
 )
 
 func TestSenderSuite(t *testing.T) {
@@ -237,6 +239,34 @@
 		Expect(srv.received()).To(HaveLen(4))
 	})
 
+	// Guards against refused calls of which the log can't say whether the refusal was theirs.
+	It("tells which request on its connection an attempt was, whether its response names it, and which responses were dropped", func() {
+		var strays []Stray
+		s := New(Config{
+			ParseHeaders: func(_ int, h http.Header) HeaderInfo { return HeaderInfo{RequestID: h.Get("Id")} },
+			OnStray:      func(r Stray) { strays = append(strays, r) },
+		})
+		DeferCleanup(s.Close)
+		srv := newTestServer(func(c net.Conn, _, r int) {
+			if r == 1 {
+				write(c, "HTTP/1.1 503 Full\r\nId: a\r\nContent-Length: 0\r\n\r\n")
+			}
+			write(c, "HTTP/1.1 200 OK\r\nId: "+string(rune('a'+r))+"\r\nContent-Length: 0\r\n\r\n")
+		})
+		server := registrar.Key{Service: "s", InstanceID: "i"}
+		for i, id := range []string{"a", "b"} {
+			ctx, cancel := context.WithTimeout(context.Background(), long)
+			defer cancel()
+			res, err := s.Do(ctx, &Request{Address: srv.address, Server: server, Method: http.MethodGet, Path: "/item", ID: id})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, res.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(res.Exchange).To(Equal(i + 1))
+			Expect(res.Named).To(BeTrue())
+		}
+		Expect(strays).To(Equal([]Stray{{Server: server, RequestID: "b", Status: http.StatusServiceUnavailable, NamedID: "a", Exchange: 2}}))
+	})
+
 	It("drops an idle connection that the server closed or sent unsolicited bytes on", func() {
 		for _, after := range []string{"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n", ""} {
 			done := make(chan struct{}, 9)
--- a/peridot-entry/supervisor/calllog.go
+++ b/peridot-entry/supervisor/calllog.go
@@ -59,6 +59,12 @@
 		at := &list[i]
 		d := zerolog.Dict().Str("server", at.Server).Dur("start-ms", at.Start).Dur("connect-ms", at.Connect).Dur("wait-ms", at.Wait).
 			Dur("read-ms", at.Read).Str("result", at.Result)
+		if at.Exchange > 0 {
+			d = d.Int("exchange", at.Exchange)
+		}
+		if at.Refusal != "" {
+			d = d.Str("refusal", at.Refusal)
+		}
 		if at.Fingerprint != "" {
 			d = d.Str("fingerprint", at.Fingerprint)
 		}
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -15,6 +15,7 @@
 
 	"peridotswitch.example/common/delivererpb"
 	"peridotswitch.example/common/parser"
+	"peridotswitch.example/peridot-entry/accountant"
 	"peridotswitch.example/peridot-entry/dispatcher"
 	"peridotswitch.example/peridot-entry/follower"
 	"peridotswitch.example/peridot-entry/informer"
@@ -94,7 +95,7 @@
 	}
 	s = &Routed{cfg: cfg, incarnation: rand.Uint64(), startedAt: time.Now(), log: newCallLog(cfg.Log), initialized: make(chan struct{})}
 	s.registrar = registrar.New(registrar.Config{})
-	s.sender = sender.New(sender.Config{ParseHeaders: cfg.ParseHeaders, AllowCloseDelimited: true})
+	s.sender = sender.New(sender.Config{ParseHeaders: cfg.ParseHeaders, AllowCloseDelimited: true, OnStray: recordStrays(cfg.Log, s.meter)})
 	s.picker = picker.New(picker.Config{
 		InstanceID:       cfg.InstanceID,
 		AvailabilityZone: cfg.AvailabilityZone,
@@ -448,6 +449,8 @@
 	return max(s.cfg.RetrySlack/float64(s.budgetEntries()), 1)
 }
 
+func (s *Routed) meter() *accountant.Meter { return s.stats.meter }
+
 // recordCall records a finished call in the statistics and the log.
 func (s *Routed) recordCall(t *tracer.Trace) {
 	s.log.write(t, s.stats.record(t))
--- a/peridot-entry/supervisor/sendpath.go
+++ b/peridot-entry/supervisor/sendpath.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"peridotswitch.example/peridot-entry/accountant"
 	"peridotswitch.example/peridot-entry/prober"
 	"peridotswitch.example/peridot-entry/quarantiner"
 	"peridotswitch.example/peridot-entry/registrar"
@@ -20,7 +21,10 @@
 // startSender creates the registrar, the sender, and the quarantiner, which refuses requests that crash backend servers.
 func (s *Supervisor) startSender() {
 	s.registrar = registrar.New(registrar.Config{OnChange: func() { s.spreader.ExchangeNow() }})
-	s.sender = sender.New(sender.Config{MaxConnections: s.connectionCap})
+	s.sender = sender.New(sender.Config{
+		MaxConnections: s.connectionCap,
+		OnStray:        recordStrays(s.cfg.Log, func() *accountant.Meter { return s.stats.meter }),
+	})
 	s.quarantiner = quarantiner.New(quarantiner.Config{
 		Now:               time.Now,
 		Send:              func(ctx context.Context, req *sender.Request) (*sender.Response, error) { return s.prober.Do(ctx, req) },
@@ -33,6 +37,23 @@
 	})
 }
 
+const (
+	// strayLogBurst is how many stray responses are logged in strayLogPeriod; a faulty server may send any number.
+	strayLogBurst  = 5
+	strayLogPeriod = time.Second
+)
+
+// recordStrays returns a function that logs and counts responses of backend servers that belong to no request in flight. meter is called
+// only while calls are served.
+func recordStrays(log zerolog.Logger, meter func() *accountant.Meter) func(sender.Stray) {
+	sampled := log.Sample(&zerolog.BurstSampler{Burst: strayLogBurst, Period: strayLogPeriod})
+	return func(r sender.Stray) {
+		meter().RecordStray(r.Server.Service, r.NamedID != "")
+		sampled.Warn().Str("server", r.Server.InstanceID).Str("service", r.Server.Service).Str("request-id", r.RequestID).Int("status", r.Status).
+			Str("named-id", r.NamedID).Int("exchange", r.Exchange).Msg("response that belongs to no request in flight")
+	}
+}
+
 // logContained returns a function that logs that a request begins to be refused or no longer is.
 func logContained(log zerolog.Logger) func(quarantiner.ContainedRequest, bool) {
 	return func(c quarantiner.ContainedRequest, refused bool) {
--- a/peridot-entry/tracer/trace.go
+++ b/peridot-entry/tracer/trace.go
@@ -10,6 +10,14 @@
 	Canceled = "canceled"
 )
 
+// Values of Attempt.Refusal.
+const (
+	// NamedRefusal is a refusal with the call's request id.
+	NamedRefusal = "named"
+	// UnnamedRefusal is a refusal without a request id: only its place on the connection says that it is the call's.
+	UnnamedRefusal = "unnamed"
+)
+
 // Attempt records how the time of one attempt was spent.
 type Attempt struct {
 	Server  string        `json:"server"`
@@ -23,6 +31,11 @@
 	// Fingerprint identifies the request if its connection was lost, as by a crash of the backend server.
 	Fingerprint string `json:"fingerprint,omitempty"`
 	Hedge       bool   `json:"hedge,omitempty"`
+	// Exchange is the number of the request on its connection, from 1, probes included; 0 when there was no connection.
+	Exchange int `json:"exchange,omitempty"`
+	// Refusal tells, for an attempt that the backend server refused, whether the refusal named the call: NamedRefusal or
+	// UnnamedRefusal; empty for other attempts.
+	Refusal string `json:"refusal,omitempty"`
 }
 
 // Trace records how the time of one call was spent.
