prover: stray responses make unsafe calls run twice

Three control members, three entries, six servers, 40 callers of unsafe calls, 3 s for each kind of stray: servers write one more response that names no request up to 40 ms after one in 20 of their successes (or responses to probes).

--- a/prover/platform_fleet_test.go
+++ b/prover/platform_fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -206,6 +207,9 @@
 	requests, pauses []entryRequest
 	// refuseAgain makes the server refuse a call on each connection, and write the refusal once more when it has read the next call.
 	refuseAgain atomic.Bool
+	// strays are the responses beyond those that its requests call for; nil for none.
+	strays  atomic.Pointer[strays]
+	refuses func(share float64) bool
 	// rateLimit is the limit that the server names in its responses to calls; nil for none.
 	rateLimit atomic.Pointer[string]
 	// crash ends the server when it runs a call to the path crashPath; nil for a server that doesn't crash.
@@ -251,6 +255,8 @@
 		id: fmt.Sprintf("i-%d", lastServer.Add(1)), address: l.Addr().String(), listener: l, startedMs: time.Now().UnixMilli(),
 		runCounts: make(map[string]int),
 	}
+	listener := &strayListener{Listener: l, play: s.strays.Load, rand: rand.New(rand.NewPCG(*straySeed, uint64(lastServer.Load())))}
+	s.listener, s.refuses = listener, listener.happens
 	s.setServiceTime(serviceTime)
 	return s
 }
@@ -331,7 +337,7 @@
 		s.serveRefusedAgain(w)
 		return
 	}
-	if s.full.Load() {
+	if kind := s.strays.Load(); s.full.Load() || kind != nil && s.refuses(kind.refuse) {
 		h.Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
