sender: a response without a request id needs a proof that it is the call's own

Callers saw orders run twice, 503 for orders that ran, and another call's success or failure, wherever a server wrote one response too many.

Cause: HTTP/1.1 pairs responses with requests by order alone, and the sender took the next response on a connection for the call's own unless it named another request. Refusals name none on some servers, and a refusal is the proof by which an unsafe call goes to a second server. The class: evidence taken from a message's place, where the sender of that message is not known to be in step.

A response is now a call's own if it names the call, or if the call was the first on its connection. After any other one without an id the entry sends a marker behind the call, a request to the health path with Connection: close. Servers respond in order: the call's own response comes before the marker's, or the refusal was the call's. Without the marker's response the call may have run. Probes don't leave a connection for others after a response that may not be theirs.

TestResponseIsMatchedToItsRequest has the orders of bytes one by one; it doesn't compile on the code before (Proof, MarkerPath). TestProbeIgnoresAnswerToAnEarlierCall calls match, which replaces isOwn, with the same cases.

--- a/peridot-entry/accountant/meter.go
+++ b/peridot-entry/accountant/meter.go
@@ -20,13 +20,15 @@
 	refusals map[labelValues]tally.Counter
 	// strays are counters by service and whether the response named a request.
 	strays map[labelValues]tally.Counter
+	// markers are counters by service and whether the marker was sent.
+	markers map[labelValues]tally.Counter
 	// faulty, crashes and limited are counters by service.
 	faulty  map[string]tally.Counter
 	crashes map[string]tally.Counter
 	limited map[string]tally.Counter
 }
 
-// labelValues are the service label and the value of the other label of a metric: outcome, result, cause or named.
+// labelValues are the service label and the value of the other label of a metric: outcome, result, cause, named or sent.
 type labelValues struct{ service, value string }
 
 // callMetrics are the metrics of the calls with one service and outcome.
@@ -47,7 +49,7 @@
 func NewMeter(scope tally.Scope) *Meter {
 	return &Meter{
 		scope: scope, calls: make(map[labelValues]*callMetrics), probes: make(map[labelValues]tally.Counter),
-		refusals: make(map[labelValues]tally.Counter), strays: make(map[labelValues]tally.Counter), faulty: make(map[string]tally.Counter),
+		refusals: make(map[labelValues]tally.Counter), strays: make(map[labelValues]tally.Counter), markers: make(map[labelValues]tally.Counter), faulty: make(map[string]tally.Counter),
 		crashes: make(map[string]tally.Counter), limited: make(map[string]tally.Counter),
 	}
 }
@@ -80,6 +82,11 @@
 	m.counter(m.strays, "stray_responses", "named", labelValues{service, strconv.FormatBool(named)}).Inc(1)
 }
 
+// RecordMarker counts a response of which only a marker could tell whose it is, and whether the marker was sent.
+func (m *Meter) RecordMarker(service string, sent bool) {
+	m.counter(m.markers, "markers", "sent", labelValues{service, strconv.FormatBool(sent)}).Inc(1)
+}
+
 // RecordFaulty counts a backend server that has become faulty.
 func (m *Meter) RecordFaulty(service string) { m.countServer(m.faulty, "faulty_servers", service) }
 
--- a/peridot-entry/dispatcher/attempt.go
+++ b/peridot-entry/dispatcher/attempt.go
@@ -59,7 +59,7 @@
 	if err == nil && res.Shed {
 		err = errShed
 		body.Close()
-		a.trace.Refusal = refusalKind(res)
+		a.trace.Refusal = string(res.Proof)
 	}
 	result := picker.Result{Status: res.Status, Shed: res.Shed && !res.WrongServer, Closing: res.Closing, Unreachable: res.WrongServer, Load: res.Load, RateLimit: res.RateLimit}
 	if err != nil {
@@ -77,13 +77,6 @@
 	a.response = &Response{Outcome: Ran, Status: res.Status, Header: res.Header, Body: body, Trailer: res.Trailer, Attempts: a.n}
 }
 
-func refusalKind(res *sender.Response) string {
-	if res.Named {
-		return tracer.NamedRefusal
-	}
-	return tracer.UnnamedRefusal
-}
-
 func (a *attempt) setTiming(t sender.Timing) {
 	a.trace.Connect, a.trace.Send, a.trace.Wait = t.Connect, t.Send, t.Wait
 }
--- a/peridot-entry/scout/budget.go
+++ b/peridot-entry/scout/budget.go
@@ -27,6 +27,9 @@
 	return n
 }
 
+// TakeProbe reports whether the probe budget of a service allows a request that isn't sent by the Scout, and counts it.
+func (s *Scout) TakeProbe(service string) bool { return s.grant(service, 1) == 1 }
+
 // grant returns how many of n probes of a service its budget allows now.
 func (s *Scout) grant(service string, n int) int {
 	if s.cfg.Budget == nil {
--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -27,8 +27,15 @@
 	// stop prevents the end of the call's context from interrupting conn; it returns false when the context has ended already.
 	stop   func() bool
 	timing Timing
-	// info is parsed from the header of the response that read returned.
-	info HeaderInfo
+	// info is parsed from the header of the response that read returned, and proof is why that response belongs to the request.
+	info  HeaderInfo
+	proof Proof
+	// dropped counts the responses that were read before it and not returned.
+	dropped int
+	// marker is true once a marker has been sent behind the request; early is true when the request couldn't be written completely.
+	marker, early bool
+	// doubts holds the doubtful responses among those dropped.
+	doubts []unnamed
 	// writeResult receives the error of a write that runs while the response is read; nil when the request is written first.
 	writeResult chan error
 }
@@ -51,46 +58,6 @@
 	return nil
 }
 
-// read waits for the header of the response to this request; late responses to earlier requests are dropped.
-func (e *exchange) read(hr *http.Request) (*http.Response, error) {
-	for range maxStaleResponses {
-		res, err := e.readOne(hr)
-		if err != nil {
-			return nil, err
-		}
-		e.info = e.cfg.ParseHeaders(res.StatusCode, res.Header)
-		if e.isOwn() {
-			if maxIdle, ok := parseKeepAlive(res.Header); ok {
-				e.conn.maxIdle = maxIdle
-			}
-			return res, nil
-		}
-		e.reportStray(res.StatusCode)
-		// More unsolicited responses may follow on this connection.
-		e.conn.broken = true
-		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStaleBytes))
-		if err != nil || n == maxStaleBytes {
-			return nil, errors.WithMessage(errStale, "drop an answer to another request")
-		}
-	}
-	return nil, errStale
-}
-
-// reportStray reports that the response whose header was read last is dropped.
-func (e *exchange) reportStray(status int) {
-	if e.cfg.OnStray != nil {
-		e.cfg.OnStray(Stray{Server: e.server, RequestID: e.requestID, Status: status, NamedID: e.info.RequestID, Exchange: e.conn.exchanges})
-	}
-}
-
-// isOwn reports whether the response belongs to this request. Probes have no id, so that a response with one is an earlier call's.
-func (e *exchange) isOwn() bool {
-	if e.probe && e.requestID == "" {
-		return e.info.RequestID == ""
-	}
-	return e.requestID == "" || e.info.RequestID == "" || e.info.RequestID == e.requestID
-}
-
 // parseKeepAlive returns how long an idle connection is to be kept according to a response's Keep-Alive header, which states when the
 // server closes it.
 func parseKeepAlive(h http.Header) (maxIdle time.Duration, ok bool) {
@@ -109,12 +76,10 @@
 	return 0, false
 }
 
-var errStale = errors.New("the connection brings answers to other requests")
-
 // readOne waits for the header of a final response and skips informational ones.
 func (e *exchange) readOne(hr *http.Request) (*http.Response, error) {
 	start := time.Now()
-	defer func() { e.timing.Wait = time.Since(start) }()
+	defer func() { e.timing.Wait += time.Since(start) }()
 	for range maxInformational {
 		e.conn.limitHeader()
 		res, err := http.ReadResponse(e.conn.reader, hr)
@@ -140,7 +105,7 @@
 
 // readEarly reads the response to a request that couldn't be written completely.
 func (e *exchange) readEarly(hr *http.Request) (*http.Response, error) {
-	e.conn.broken = true
+	e.conn.broken, e.early = true, true
 	if err := e.conn.SetReadDeadline(time.Now().Add(earlyHeaderTimeout)); err != nil {
 		return nil, err
 	}
@@ -161,9 +126,7 @@
 	if info.InvalidReason != "" && !e.probe {
 		return nil, e.fail(ctx, ReadingBody, errors.New(info.InvalidReason))
 	}
-	// A refusal without a request id, written once more, would pass for the response to the next request on its connection.
-	anonymousRefusal := info.Shed && info.RequestID == ""
-	if closeDelimited || anonymousRefusal || res.Close || !res.ProtoAtLeast(1, 1) {
+	if closeDelimited || e.invitesDoubt() || res.Close || !res.ProtoAtLeast(1, 1) {
 		e.conn.broken = true
 	}
 	b := &body{exchange: e, ctx: ctx, res: res}
@@ -180,7 +143,7 @@
 		WrongServer: info.WrongServer,
 		RateLimit:   info.RateLimit,
 		RetryAfter:  info.RetryAfter,
-		Named:       info.RequestID != "",
+		Proof:       e.proof,
 		Exchange:    e.conn.exchanges,
 		Timing:      e.timing,
 	}, nil
--- a/peridot-entry/sender/keepalive_test.go
+++ b/peridot-entry/sender/keepalive_test.go
@@ -81,9 +81,11 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			e := &exchange{probe: test.probe, requestID: test.id, info: HeaderInfo{RequestID: test.answers}}
-			if got := e.isOwn(); got != test.own {
-				t.Errorf("isOwn is %t, want %t", got, test.own)
+			e := &exchange{
+				cfg: &Config{}, conn: &conn{exchanges: 2}, probe: test.probe, requestID: test.id, info: HeaderInfo{RequestID: test.answers},
+			}
+			if got := e.match(&http.Response{}) == own; got != test.own {
+				t.Errorf("the response is the request's own: %t, want %t", got, test.own)
 			}
 		})
 	}
--- /dev/null
+++ b/peridot-entry/sender/match.go
@@ -0,0 +1,194 @@
+package sender
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	errStale    = errors.New("the connection brings answers to other requests")
+	errNotOwn   = errors.New("an answer that names no request, which may be another's")
+	errUnmarked = errors.New("an answer that names no request, and no way to find out whose it is")
+)
+
+// match is what a response is to the request that waits for one.
+type match int
+
+const (
+	// own is the response to the request.
+	own match = iota
+	// stray is the response to another request.
+	stray
+	// doubtful names no request, and may be the response to this one or to another.
+	doubtful
+	// marked is the response to the marker that was sent behind the request.
+	marked
+)
+
+// unnamed is a response that names no request and whose place on the connection doesn't tell whose it is.
+type unnamed struct {
+	res  *http.Response
+	info HeaderInfo
+}
+
+// read waits for the header of the response to this request. Responses to other requests are dropped. After a response that may be this
+// request's or another's, it sends a marker and reads on: servers respond to the requests of a connection in order, so that a response which
+// names this request still follows, or else the response to the marker is next.
+func (e *exchange) read(hr *http.Request) (*http.Response, error) {
+	for ; e.dropped < maxStaleResponses; e.dropped++ {
+		res, err := e.readOne(hr)
+		if err != nil {
+			return nil, err
+		}
+		e.info = e.cfg.ParseHeaders(res.StatusCode, res.Header)
+		switch e.match(res) {
+		case own:
+			e.accept(res)
+			return res, nil
+		case marked:
+			return e.refusal()
+		case doubtful:
+			err = e.doubt(hr, res)
+		case stray:
+			e.reportStray(res.StatusCode, e.info.RequestID)
+			err = e.drop(res)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return nil, errStale
+}
+
+// accept records what the response to this request says about its connection, and that the doubtful ones before it are another's.
+func (e *exchange) accept(res *http.Response) {
+	for _, d := range e.doubts {
+		e.reportStray(d.res.StatusCode, "")
+	}
+	if maxIdle, ok := parseKeepAlive(res.Header); ok {
+		e.conn.maxIdle = maxIdle
+	}
+}
+
+// doubt keeps a doubtful response and, after the first, sends a marker.
+func (e *exchange) doubt(hr *http.Request, res *http.Response) error {
+	if err := e.drop(res); err != nil {
+		return err
+	}
+	e.doubts = append(e.doubts, unnamed{res, e.info})
+	if len(e.doubts) > 1 {
+		return nil
+	}
+	return e.sendMarker(hr, res)
+}
+
+// refusal returns the response to this request once the marker's has been read: one of the doubtful ones, whichever it is. Only if all are
+// refusals is it certain that the request was refused.
+func (e *exchange) refusal() (*http.Response, error) {
+	for _, d := range e.doubts {
+		if !d.info.Shed {
+			return nil, errNotOwn
+		}
+	}
+	first := e.doubts[0]
+	e.info, e.proof = first.info, ProofMarked
+	return first.res, nil
+}
+
+// drop discards the body of a response that is not returned, or not yet. More unsolicited responses may follow on this connection.
+func (e *exchange) drop(res *http.Response) error {
+	e.conn.broken = true
+	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStaleBytes))
+	if err != nil || n == maxStaleBytes {
+		return errors.WithMessage(errStale, "drop an answer to another request")
+	}
+	res.Body = http.NoBody
+	return nil
+}
+
+// reportStray reports a response that belongs to no request in flight, with the request id that it has.
+func (e *exchange) reportStray(status int, id string) {
+	if e.cfg.OnStray != nil {
+		e.cfg.OnStray(Stray{Server: e.server, RequestID: e.requestID, Status: status, NamedID: id, Exchange: e.conn.exchanges})
+	}
+}
+
+// invitesDoubt reports whether a response like the one that read returned would be taken for another request's if it came again, or may be
+// another request's itself, so that one more response is due.
+func (e *exchange) invitesDoubt() bool {
+	if e.info.RequestID != "" {
+		return false
+	}
+	return e.info.Shed || e.probe && e.cfg.NamesRequests && e.info.Server == ""
+}
+
+// match finds out what the response whose header was read last is to this request, and sets proof if it is its own.
+func (e *exchange) match(res *http.Response) match {
+	id := e.info.RequestID
+	switch {
+	case id != "" && e.requestID != "":
+		e.proof = ProofNamed
+		if id != e.requestID {
+			return stray
+		}
+		return own
+	case id != "" && e.probe:
+		// Probes have no id, so that a response with one is an earlier call's.
+		return stray
+	case e.marker && res.Close && !e.info.Shed && e.info.Server == e.server.InstanceID:
+		return marked
+	}
+	e.proof = ProofOrder
+	if e.conn.exchanges == 1 && e.dropped == 0 {
+		e.proof = ProofFirst
+	}
+	if e.proof == ProofFirst || e.requestID == "" || !e.info.Shed && !e.cfg.NamesRequests {
+		return own
+	}
+	return doubtful
+}
+
+// sendMarker sends a request that runs nothing behind this request, whose response can't be told from another's by itself. The server closes the
+// connection after the response to the marker and says so in it, which no response to an earlier request on this connection can have done. It
+// sends none after a response with which the server closes the connection: a response to this request may still follow.
+func (e *exchange) sendMarker(hr *http.Request, last *http.Response) error {
+	path := ""
+	if e.cfg.MarkerPath != nil {
+		path = e.cfg.MarkerPath(e.server.Service)
+	}
+	switch {
+	case path == "":
+		return errUnmarked
+	case last.Close:
+		return nil
+	case e.early || e.writeResult != nil && !e.isWritten():
+		return errors.WithMessage(errUnmarked, "the request is still being written")
+	case e.info.RateLimit.Named:
+		return errors.WithMessage(errUnmarked, "the server limits requests")
+	case e.cfg.MayMark != nil && !e.cfg.MayMark(e.server):
+		return errors.WithMessage(errUnmarked, "no probe is left in the budget")
+	}
+	m, err := newRequest(&Request{Address: hr.URL.Host, Method: http.MethodGet, Path: path})
+	if err != nil {
+		return err
+	}
+	m.Close = true
+	e.marker = true
+	if err = m.Write(e.conn.writer); err == nil {
+		err = e.conn.writer.Flush()
+	}
+	return errors.WithMessage(err, "find out whose an answer without a request id is")
+}
+
+// isWritten reports whether a body that is written in the background has been written completely.
+func (e *exchange) isWritten() bool {
+	select {
+	case err := <-e.writeResult:
+		e.writeResult <- err
+		return err == nil
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/peridot-entry/sender/match_test.go
@@ -0,0 +1,202 @@
+package sender
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"peridotswitch.example/peridot-entry/registrar"
+)
+
+// parseMatchHeaders parses the headers of the servers in this file's tests.
+func parseMatchHeaders(status int, h http.Header) HeaderInfo {
+	return HeaderInfo{
+		RequestID: h.Get("Id"),
+		Shed:      h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
+		Server:    h.Get("Server"),
+		RateLimit: RateLimit{Named: h.Get("Limit") != ""},
+	}
+}
+
+// startScripted starts a server that reads the requests of each connection and writes, for each, what respond returns for its number on the
+// connection, counted from 0, and its path. An empty text closes the connection.
+func startScripted(t *testing.T, respond func(n int, path string) string) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				buf := make([]byte, 4096)
+				var received strings.Builder
+				for n := 0; ; {
+					size, err := c.Read(buf)
+					if err != nil {
+						return
+					}
+					received.Write(buf[:size])
+					lines := strings.Split(received.String(), "\r\n")
+					var paths []string
+					for _, line := range lines {
+						if strings.HasSuffix(line, " HTTP/1.1") {
+							paths = append(paths, strings.Fields(line)[1])
+						}
+					}
+					for ; n < len(paths); n++ {
+						text := respond(n, paths[n])
+						if text == "" {
+							return
+						}
+						_, _ = io.WriteString(c, text)
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a call that is taken for refused, and sent to another server, or answered with another call's response, because of a response
+// that names no request and is not the call's own.
+func TestResponseIsMatchedToItsRequest(t *testing.T) {
+	const (
+		refusal    = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
+		closing    = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+		wrong      = "HTTP/1.1 421 Other\r\nServer: other\r\nContent-Length: 0\r\n\r\n"
+		success    = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+		failure    = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
+		limiting   = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nLimit: 2\r\nContent-Length: 0\r\n\r\n"
+		named      = "HTTP/1.1 200 OK\r\nId: second\r\nContent-Length: 3\r\n\r\nown"
+		health     = "HTTP/1.1 200 OK\r\nServer: i\r\nContent-Length: 0\r\n\r\n"
+		lastHealth = "HTTP/1.1 200 OK\r\nServer: i\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+		another    = "HTTP/1.1 200 OK\r\nServer: j\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	)
+	tests := map[string]struct {
+		// second is what the server writes when it has read the second request, and marker when it has read a marker.
+		second, marker string
+		noMarkers      bool
+		// body is the response's, for a call that ran; proof is why its response, or the refusal, is its own.
+		body  string
+		proof Proof
+		err   error
+		// strays is the number of responses that are reported as another's.
+		strays int
+	}{
+		"named":                                     {second: named, body: "own", proof: ProofNamed},
+		"refused":                                   {second: refusal, marker: lastHealth, proof: ProofMarked},
+		"another refusal first":                     {second: refusal + named, body: "own", proof: ProofNamed, strays: 1},
+		"another refusal long before":               {second: refusal, marker: named + lastHealth, body: "own", proof: ProofNamed, strays: 1},
+		"another closing refusal first":             {second: closing + named, body: "own", proof: ProofNamed, strays: 1},
+		"another server's refusal first":            {second: wrong, marker: named + lastHealth, body: "own", proof: ProofNamed, strays: 1},
+		"another refusal and its own":               {second: refusal + refusal, marker: lastHealth, proof: ProofMarked},
+		"another success first":                     {second: success + named, body: "own", proof: ProofNamed, strays: 1},
+		"another failure first":                     {second: failure, marker: named + lastHealth, body: "own", proof: ProofNamed, strays: 1},
+		"a copy of a probe's response first":        {second: health, marker: named + lastHealth, body: "own", proof: ProofNamed, strays: 1},
+		"another refusal, copy of a probe's":        {second: refusal + health, marker: named + lastHealth, body: "own", proof: ProofNamed, strays: 2},
+		"refused, the marker by another server":     {second: refusal, marker: another, err: context.DeadlineExceeded},
+		"refused, the marker's connection kept":     {second: refusal, marker: health, err: context.DeadlineExceeded},
+		"refused and closed":                        {second: refusal, marker: "", err: io.ErrUnexpectedEOF},
+		"refused, closing":                          {second: closing, err: context.DeadlineExceeded},
+		"refused, no marker in the budget":          {second: refusal, noMarkers: true, err: errUnmarked},
+		"refused by a server that limits requests":  {second: limiting, marker: lastHealth, err: errUnmarked},
+		"failed without a name":                     {second: failure, marker: lastHealth, err: errNotOwn},
+		"answered without a name":                   {second: success, marker: lastHealth, err: errNotOwn},
+		"another refusal, failed without a name":    {second: refusal + failure, marker: lastHealth, err: errNotOwn},
+		"another call's response, then a refusal":   {second: strings.Replace(named, "second", "first", 1) + refusal, marker: lastHealth, proof: ProofMarked, strays: 1},
+		"another call's response, another refusal":  {second: strings.Replace(named, "second", "first", 1) + refusal, marker: named, body: "own", proof: ProofNamed, strays: 2},
+		"nothing but refusals without an end to it": {second: strings.Repeat(refusal, maxStaleResponses), marker: lastHealth, err: errStale},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			strays := 0
+			s := New(Config{
+				ParseHeaders: parseMatchHeaders, NamesRequests: true,
+				MarkerPath: func(string) string { return "/health" },
+				MayMark:    func(registrar.Key) bool { return !test.noMarkers },
+				OnStray:    func(Stray) { strays++ },
+			})
+			defer s.Close()
+			address := startScripted(t, func(n int, path string) string {
+				switch {
+				case path == "/health":
+					return test.marker
+				case n == 0:
+					return strings.Replace(named, "second", "first", 1)
+				}
+				return test.second
+			})
+			do := func(id string) (*Response, string, error) {
+				ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+				defer cancel()
+				res, err := s.Do(ctx, &Request{Address: address, Server: registrar.Key{Service: "s", InstanceID: "i"}, Method: http.MethodPost, Path: "/item", ID: id})
+				if err != nil {
+					return nil, "", err
+				}
+				defer res.Body.Close()
+				body, err := io.ReadAll(res.Body)
+				return res, string(body), err
+			}
+			if _, _, err := do("first"); err != nil {
+				t.Fatal(err)
+			}
+			res, body, err := do("second")
+			if test.err != nil {
+				var se *Error
+				if !errors.Is(err, test.err) || !errors.As(err, &se) || !se.Written || se.Exchange != 2 {
+					t.Errorf("got %+v, want %v of a request that may have run", err, test.err)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			if res.Shed != (test.body == "") || body != test.body || res.Proof != test.proof {
+				t.Errorf("refused: %t, body %q, proof %q; want body %q, proof %q", res.Shed, body, res.Proof, test.body, test.proof)
+			}
+			if strays != test.strays {
+				t.Errorf("%d responses were reported as another's, want %d", strays, test.strays)
+			}
+		})
+	}
+}
+
+// Guards against needless markers, and refused calls that can't be retried: no other response can come first on a new connection.
+func TestFirstRefusalOnAConnectionIsItsRequests(t *testing.T) {
+	for name, text := range map[string]string{
+		"a refusal":                  "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"a refusal that closes":      "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		"another server's refusal":   "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n",
+		"without a path for markers": "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := New(Config{ParseHeaders: parseMatchHeaders, NamesRequests: true})
+			defer s.Close()
+			address := startScripted(t, func(int, string) string { return text })
+			for range 2 {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				res, err := s.Do(ctx, &Request{Address: address, Method: http.MethodPost, Path: "/item", ID: "now"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, res.Body)
+				if !res.Shed || res.Proof != ProofFirst {
+					t.Errorf("refused: %t, proof %q, want a refusal that is the first response on its connection", res.Shed, res.Proof)
+				}
+			}
+		})
+	}
+}
--- a/peridot-entry/sender/sender.go
+++ b/peridot-entry/sender/sender.go
@@ -89,13 +89,29 @@
 	WrongServer bool
 	RateLimit   RateLimit
 	RetryAfter  time.Duration
-	// Named is true when the response names the request that it belongs to.
-	Named bool
+	// Proof is why the response belongs to the request.
+	Proof Proof
 	// Exchange is the number of the request on its connection, from 1, probes included.
 	Exchange int
 	Timing   Timing
 }
 
+// Proof is why a response belongs to a request. Responses without a request id all look alike, so that one that is late, or was never asked
+// for, passes for the response to the next request on its connection.
+type Proof string
+
+// The values of Proof.
+const (
+	// ProofNamed means that the response has the request's id.
+	ProofNamed Proof = "named"
+	// ProofFirst means that the request was the first on its connection, so that no other response could be due.
+	ProofFirst Proof = "first"
+	// ProofMarked means that the response to a marker, sent behind the request, came next.
+	ProofMarked Proof = "marked"
+	// ProofOrder means that the response was next on a connection that had carried other requests.
+	ProofOrder Proof = "order"
+)
+
 // Stray is a response that belongs to no request in flight and was dropped.
 type Stray struct {
 	Server registrar.Key
@@ -172,6 +188,13 @@
 	ParseHeaders func(status int, h http.Header) HeaderInfo
 	// AllowCloseDelimited accepts responses whose body ends when the connection is closed.
 	AllowCloseDelimited bool
+	// NamesRequests says that responses name their request, but for refusals and responses to probes; the latter name the server.
+	NamesRequests bool
+	// MarkerPath returns the path of a request that runs nothing at the servers of a service, and whose response names the server; empty
+	// for none. It is sent behind a request when a response can't be told to be the request's own. Nil for none.
+	MarkerPath func(service string) string
+	// MayMark reports whether a marker may be sent to a server now; nil for always.
+	MayMark func(registrar.Key) bool
 	// OnStray is called with each response that belongs to no request in flight; may be nil.
 	OnStray func(Stray)
 }
--- a/peridot-entry/sender/sender_test.go
+++ b/peridot-entry/sender/sender_test.go
@@ -262,7 +262,7 @@
 			_, err = io.Copy(io.Discard, res.Body)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(res.Exchange).To(Equal(i + 1))
-			Expect(res.Named).To(BeTrue())
+			Expect(res.Proof).To(Equal(ProofNamed))
 		}
 		Expect(strays).To(Equal([]Stray{{Server: server, RequestID: "b", Status: http.StatusServiceUnavailable, NamedID: "a", Exchange: 2}}))
 	})
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -62,6 +62,7 @@
 	follower    *follower.Follower
 	registrar   *registrar.Registrar
 	sender      *sender.Sender
+	scout       *scout.Scout
 	quarantiner *quarantiner.Quarantiner
 	// reported holds what the last watch request reported of requests that crash servers. Only the goroutine that watches uses it.
 	reported []*quarantiner.CrashReport
@@ -95,7 +96,7 @@
 	}
 	s = &Routed{cfg: cfg, incarnation: rand.Uint64(), startedAt: time.Now(), log: newCallLog(cfg.Log), initialized: make(chan struct{})}
 	s.registrar = registrar.New(registrar.Config{})
-	s.sender = sender.New(sender.Config{ParseHeaders: cfg.ParseHeaders, AllowCloseDelimited: true, OnStray: recordStrays(cfg.Log, s.meter)})
+	s.sender = s.newSender()
 	s.picker = picker.New(picker.Config{
 		InstanceID:       cfg.InstanceID,
 		AvailabilityZone: cfg.AvailabilityZone,
@@ -121,11 +122,12 @@
 		_ = operators.Close()
 		return nil, err
 	}
+	s.scout = s.newScout()
 	limits := limiter.New(limiter.Config{})
 	d := dispatcher.New(dispatcher.Config{
 		Acquire:     limits.Acquire,
 		TryAcquire:  limits.TryAcquire,
-		Probe:       s.newScout().Probe,
+		Probe:       s.scout.Probe,
 		Pick:        s.picker.Pick,
 		Admit:       s.admit,
 		Send:        s.quarantiner.Send,
@@ -138,16 +140,37 @@
 	return s, nil
 }
 
+func (s *Routed) newSender() *sender.Sender {
+	return sender.New(sender.Config{
+		ParseHeaders:        s.cfg.ParseHeaders,
+		AllowCloseDelimited: true,
+		NamesRequests:       true,
+		MarkerPath:          s.healthPath,
+		MayMark:             s.mayMark,
+		OnStray:             recordStrays(s.cfg.Log, func() *accountant.Meter { return s.stats.meter }),
+	})
+}
+
+// healthPath returns the path at which a service's servers report their load; empty when there is none.
+func (s *Routed) healthPath(service string) string {
+	cfg := s.follower.Current()
+	if cfg == nil || cfg.Routing == nil || cfg.Routing.Service(service) == nil {
+		return ""
+	}
+	return cfg.Routing.Service(service).HealthPath
+}
+
+// mayMark reports whether a marker may be sent to a server, and counts it as a probe if so.
+func (s *Routed) mayMark(k registrar.Key) bool {
+	ok := s.scout.TakeProbe(k.Service)
+	s.stats.meter.RecordMarker(k.Service, ok)
+	return ok
+}
+
 func (s *Routed) newScout() *scout.Scout {
 	return scout.New(scout.Config{
-		Candidates: s.picker.Candidates,
-		HealthPath: func(service string) string {
-			cfg := s.follower.Current()
-			if cfg == nil || cfg.Routing == nil || cfg.Routing.Service(service) == nil {
-				return ""
-			}
-			return cfg.Routing.Service(service).HealthPath
-		},
+		Candidates:    s.picker.Candidates,
+		HealthPath:    s.healthPath,
 		Send:          s.sender.Do,
 		Observe:       s.picker.Observe,
 		OnRateLimit:   s.picker.ObserveRateLimit,
@@ -449,8 +472,6 @@
 	return max(s.cfg.RetrySlack/float64(s.budgetEntries()), 1)
 }
 
-func (s *Routed) meter() *accountant.Meter { return s.stats.meter }
-
 // recordCall records a finished call in the statistics and the log.
 func (s *Routed) recordCall(t *tracer.Trace) {
 	s.log.write(t, s.stats.record(t))
--- a/peridot-entry/tracer/trace.go
+++ b/peridot-entry/tracer/trace.go
@@ -10,14 +10,6 @@
 	Canceled = "canceled"
 )
 
-// Values of Attempt.Refusal.
-const (
-	// NamedRefusal is a refusal with the call's request id.
-	NamedRefusal = "named"
-	// UnnamedRefusal is a refusal without a request id: only its place on the connection says that it is the call's.
-	UnnamedRefusal = "unnamed"
-)
-
 // Attempt records how the time of one attempt was spent.
 type Attempt struct {
 	Server  string        `json:"server"`
@@ -33,8 +25,8 @@
 	Hedge       bool   `json:"hedge,omitempty"`
 	// Exchange is the number of the request on its connection, from 1, probes included; 0 when there was no connection.
 	Exchange int `json:"exchange,omitempty"`
-	// Refusal tells, for an attempt that the backend server refused, whether the refusal named the call: NamedRefusal or
-	// UnnamedRefusal; empty for other attempts.
+	// Refusal is, for an attempt that the backend server refused, why the refusal is the call's: a value of sender.Proof. It is empty
+	// for other attempts.
 	Refusal string `json:"refusal,omitempty"`
 }
 
