prover: bytes without end use up the memory of entries and control members

The operators' report: a server sent bytes without end, and the machine that had called it ran out of memory. Everything else that a process reads was not tried: 12 streams of 48 MB to each port, and a server of 400 MB at the address of a lost control member, as real processes without the race detector.

--- a/prover/platform_fleet_test.go
+++ b/prover/platform_fleet_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -22,7 +23,9 @@
 // platformFleet is a deployment on a simulation of the users' platform: it writes settings files, puts configurations and sends the
 // heartbeats of backend servers as the platform's documentation describes.
 type platformFleet struct {
-	dir     string
+	dir string
+	// plain is set if the programs were built without the race detector.
+	plain   bool
 	control []*platformProcess
 	entries []*platformProcess
 	mu      sync.Mutex
@@ -57,7 +60,20 @@
 }
 
 func newPlatformFleet(members, entries int) *platformFleet {
-	f := &platformFleet{dir: tempDir()}
+	return startFleet(&platformFleet{dir: tempDir()}, "platform", members, entries)
+}
+
+// newPlainFleet starts programs that were built without the race detector, which multiplies their memory.
+func newPlainFleet(members, entries int) *platformFleet {
+	const program = "platform-plain"
+	cmd := exec.Command("go", "build", "-o", filepath.Join(binDir, program), ".")
+	cmd.Dir = filepath.Join("..", "platform")
+	out, err := cmd.CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+	return startFleet(&platformFleet{dir: tempDir(), plain: true}, program, members, entries)
+}
+
+func startFleet(f *platformFleet, program string, members, entries int) *platformFleet {
 	deferCleanup(f.stopServers)
 	for range members {
 		f.control = append(f.control, &platformProcess{ip: newIP()})
@@ -65,12 +81,12 @@
 	for i, p := range f.control {
 		p.data = filepath.Join(f.dir, fmt.Sprintf("data-%d", i))
 		f.writeSettings(p, fmt.Sprintf("core-%d", i), true)
-		p.process = start("platform", "control", "--settings", p.settings)
+		p.process = start(program, "control", "--settings", p.settings)
 	}
 	for i := range entries {
 		p := &platformProcess{ip: newIP()}
 		f.writeSettings(p, fmt.Sprintf("front-%d", i), true)
-		p.process = start("platform", "entry", "--settings", p.settings)
+		p.process = start(program, "entry", "--settings", p.settings)
 		f.entries = append(f.entries, p)
 	}
 	return f
@@ -93,6 +109,14 @@
 	p.start()
 }
 
+// memoryMB returns the memory that a process may use, in megabytes. The race detector needs more.
+func (f *platformFleet) memoryMB(p *platformProcess) int {
+	if f.plain && p.data == "" {
+		return entryMemory >> 20
+	}
+	return controlMemory >> 20
+}
+
 // writeSettings writes the settings file of a process.
 func (f *platformFleet) writeSettings(p *platformProcess, id string, found bool) {
 	var seeds []string
@@ -100,8 +124,8 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", c.ip, controlPort))
 	}
 	p.settings = filepath.Join(f.dir, id+".yaml")
-	text := fmt.Sprintf("instance-id: %s\navailability-zone: a\nip: %s\nseeds: %s\npeer-ports: \"7620,7635\"\nfound: %t\nmemory-mb: 280\ngrace-s: 6\nretry-slack: 60\n",
-		id, p.ip, strings.Join(seeds, ","), found)
+	text := fmt.Sprintf("instance-id: %s\navailability-zone: a\nip: %s\nseeds: %s\npeer-ports: \"7620,7635\"\nfound: %t\nmemory-mb: %d\ngrace-s: 6\nretry-slack: 60\n",
+		id, p.ip, strings.Join(seeds, ","), found, f.memoryMB(p))
 	if p.data != "" {
 		text += fmt.Sprintf("data: %s\ncontrol: %s:%d\ndirectory: %s:%d\n", p.data, p.ip, controlPort, p.ip, directoryPort)
 	} else {
