bounder: messages of other processes are read within bounds

Any peer, or any server at an address that was a peer's, could end an entry or a control member by sending bytes without end: the twirp servers and clients read whole bodies of any length, control's message port had no limit on heads but net/http's 1 MB and no time limit, clients took heads of 10 MB.

The class: a reader that trusts the other side to stop. Servers bound the request's head, body and time; clients of the system's own processes the response's head and body.

--- /dev/null
+++ b/common/bounder/doc.go
@@ -0,0 +1,2 @@
+// Package bounder limits the memory that the messages of other processes take while they are read.
+package bounder
--- a/common/server/server.go
+++ b/common/server/server.go
@@ -8,6 +8,8 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/pkg/errors"
+
+	"peridotswitch.example/common/bounder"
 )
 
 // Config configures a Server. Zero durations and sizes select the defaults of net/http.
@@ -19,6 +21,8 @@
 	ReadTimeout       time.Duration
 	WriteTimeout      time.Duration
 	MaxHeaderBytes    int
+	// MaxBodyBytes limits the body of a request, and the bodies of all requests that are in memory together; 0 for no limit.
+	MaxBodyBytes int64
 }
 
 // Server is a running HTTP server.
@@ -30,13 +34,17 @@
 // New starts serving; Close stops it.
 func New(cfg Config) *Server {
 	s := &Server{err: make(chan error, 1)}
+	handler := cfg.Handler
+	if cfg.MaxBodyBytes > 0 {
+		handler = bounder.New(bounder.Config{MessageBytes: cfg.MaxBodyBytes, TotalBytes: cfg.MaxBodyBytes}).Handler(handler)
+	}
 	// The filter bypasses the kratos router, which would redirect paths such as //x. The address is set because kratos otherwise
 	// enumerates the machine's network interfaces, which not every platform permits.
 	s.srv = khttp.NewServer(
 		khttp.Listener(cfg.Listener),
 		khttp.Address(cfg.Listener.Addr().String()),
 		khttp.Timeout(0),
-		khttp.Filter(func(http.Handler) http.Handler { return cfg.Handler }),
+		khttp.Filter(func(http.Handler) http.Handler { return handler }),
 	)
 	s.srv.ReadHeaderTimeout = cfg.ReadHeaderTimeout
 	s.srv.ReadTimeout, s.srv.WriteTimeout = cfg.ReadTimeout, cfg.WriteTimeout
--- a/peridot-control/deliverer/renewer.go
+++ b/peridot-control/deliverer/renewer.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
+	"peridotswitch.example/common/bounder"
 	"peridotswitch.example/common/delivererpb"
 	"peridotswitch.example/common/operatorpb"
 	"peridotswitch.example/peridot-control/arbiter"
@@ -34,9 +35,10 @@
 			IdleConnTimeout:    time.Minute,
 			DisableCompression: true,
 		}
+		client := bounder.NewClient(t, 0)
 		c = &leaderClient{
-			deliverer: delivererpb.NewDelivererProtobufClient("http://"+address, &http.Client{Transport: t}),
-			operator:  operatorpb.NewOperatorProtobufClient("http://"+address, &http.Client{Transport: t}),
+			deliverer: delivererpb.NewDelivererProtobufClient("http://"+address, client),
+			operator:  operatorpb.NewOperatorProtobufClient("http://"+address, client),
 		}
 		d.clients[address] = c
 	}
--- a/peridot-control/greeter/greeter.go
+++ b/peridot-control/greeter/greeter.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"peridotswitch.example/common/bounder"
 	"peridotswitch.example/common/delivererpb"
 )
 
@@ -247,7 +248,7 @@
 
 // NewCaller returns a function that calls an entry over HTTP.
 func NewCaller() func(ctx context.Context, address string, req *delivererpb.GreetRequest) error {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	client := bounder.NewClient(&http.Transport{DisableKeepAlives: true, DisableCompression: true}, 0)
 	return func(ctx context.Context, address string, req *delivererpb.GreetRequest) error {
 		_, err := delivererpb.NewGreeterProtobufClient("http://"+address, client).Greet(ctx, req)
 		return err
--- a/peridot-control/keeper/joiner.go
+++ b/peridot-control/keeper/joiner.go
@@ -13,6 +13,7 @@
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
+	"peridotswitch.example/common/bounder"
 	"peridotswitch.example/common/claimerpb"
 	"peridotswitch.example/common/decider"
 )
@@ -28,9 +29,15 @@
 )
 
 func newPeerClient(address string) claimerpb.Claimer {
-	return claimerpb.NewClaimerProtobufClient("http://"+address, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
+	return claimerpb.NewClaimerProtobufClient("http://"+address, copies.Client(&http.Transport{DisableKeepAlives: true}, 0))
 }
 
+// maxCopyBytes holds a shard of the registers at the default limits: its share of the keys, each with the largest response.
+const maxCopyBytes = 256 << 20
+
+// copies limits the responses of other replicas, all of whose registers this one will hold.
+var copies = bounder.New(bounder.Config{MessageBytes: maxCopyBytes, TotalBytes: maxCopyBytes})
+
 // groupHash returns the hash of the replica list by which requests identify their group.
 func groupHash(replicas []string) uint64 {
 	h := fnv.New64a()
--- a/peridot-control/replicator/exchange.go
+++ b/peridot-control/replicator/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"peridotswitch.example/common/bounder"
 	"peridotswitch.example/peridot-control/replicatorpb"
 )
 
@@ -95,7 +96,7 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
-	return replicatorpb.NewReplicatorProtobufClient("http://"+address, &http.Client{Transport: t, Timeout: timeout}), t.CloseIdleConnections
+	return replicatorpb.NewReplicatorProtobufClient("http://"+address, bounder.NewClient(t, timeout)), t.CloseIdleConnections
 }
 
 func newSender(r *Replicator, address string) *sender {
--- a/peridot-control/supervisor/supervisor.go
+++ b/peridot-control/supervisor/supervisor.go
@@ -259,9 +259,21 @@
 	mux.Handle(claimerpb.ClaimerPathPrefix, claimerpb.NewClaimerServer(s.keeper))
 	mux.Handle("/metrics", s.metrics.Handler())
 	mux.HandleFunc("/peridot/health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	s.srv = server.New(server.Config{Listener: s.listener, Handler: mux})
+	s.srv = server.New(server.Config{
+		Listener: s.listener, Handler: mux, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
+		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes,
+	})
 }
 
+const (
+	// readTimeout is how long a member, entry or operator may take to send a message. A snapshot takes longest.
+	readTimeout = time.Minute
+	// maxHeaderBytes is well over the few headers of a message.
+	maxHeaderBytes = 16 << 10
+	// maxBodyBytes holds the largest message: a snapshot, with the largest configuration twice.
+	maxBodyBytes = 32 << 20
+)
+
 // transferTimeout bounds the leadership transfer during a stop.
 const transferTimeout = 5 * time.Second
 
--- a/peridot-entry/claimer/claimer.go
+++ b/peridot-entry/claimer/claimer.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"peridotswitch.example/common/bounder"
 	"peridotswitch.example/common/claimerpb"
 	"peridotswitch.example/common/decider"
 )
@@ -86,7 +87,7 @@
 		}
 		c.replicas = append(c.replicas, &replica{
 			address:   address,
-			client:    claimerpb.NewClaimerProtobufClient("http://"+address, &http.Client{Transport: t}),
+			client:    claimerpb.NewClaimerProtobufClient("http://"+address, bounder.NewClient(t, 0)),
 			transport: t,
 		})
 	}
--- a/peridot-entry/follower/control.go
+++ b/peridot-entry/follower/control.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"peridotswitch.example/common/bounder"
 	"peridotswitch.example/common/delivererpb"
 	"peridotswitch.example/common/differ"
 	"peridotswitch.example/peridot-entry/followerpb"
@@ -194,10 +195,10 @@
 		w.client.CloseIdleConnections()
 	}
 	w.controlVersion, w.reportsVersion = 0, 0
-	w.client = &http.Client{Transport: &http.Transport{
+	w.client = bounder.NewClient(&http.Transport{
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableCompression: true,
-	}}
+	}, 0)
 }
 
 // addSeeds adds the seed addresses that the settings name now, and those that control members have told this entry.
--- a/peridot-entry/follower/peers.go
+++ b/peridot-entry/follower/peers.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"peridotswitch.example/common/bounder"
 	"peridotswitch.example/common/parser"
 	"peridotswitch.example/peridot-entry/followerpb"
 )
@@ -38,10 +39,10 @@
 	defer ticker.Stop()
 	// Each request gets its own connection, so that none uses an old connection whose peer is no longer reachable. The cost is small:
 	// no requests are sent while control responds.
-	client := &http.Client{Timeout: compareTimeout, Transport: &http.Transport{
+	client := bounder.NewClient(&http.Transport{
 		DialContext:       (&net.Dialer{Timeout: compareTimeout}).DialContext,
 		DisableKeepAlives: true,
-	}}
+	}, compareTimeout)
 	for {
 		select {
 		case <-ctx.Done():
--- a/peridot-entry/informer/informer.go
+++ b/peridot-entry/informer/informer.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"peridotswitch.example/common/bounder"
 	"peridotswitch.example/common/delivererpb"
 	"peridotswitch.example/common/parser"
 	"peridotswitch.example/common/server"
@@ -45,6 +46,10 @@
 	readTimeout    = 10 * time.Second
 	writeTimeout   = 30 * time.Second
 	maxHeaderBytes = 16 << 10
+	// maxBodyBytes holds the longest list of control members that one of them sends.
+	maxBodyBytes = 1 << 20
+	// idleTimeout is how long a connection to another entry is kept.
+	idleTimeout = time.Minute
 )
 
 // Informer is the HTTP server of an entry for operators.
@@ -56,7 +61,7 @@
 
 // New starts an Informer on cfg.Listener; Close stops it.
 func New(cfg Config) *Informer {
-	n := &Informer{cfg: cfg, client: &http.Client{Timeout: peerTimeout}}
+	n := &Informer{cfg: cfg, client: bounder.NewClient(&http.Transport{IdleConnTimeout: idleTimeout}, peerTimeout)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /peridot/health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /peridot/ready", n.serveReady)
@@ -68,6 +73,7 @@
 	cfg.RegisterRoutes(mux)
 	n.srv = server.New(server.Config{
 		Listener: cfg.Listener, Handler: mux, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes,
+		MaxBodyBytes: maxBodyBytes,
 	})
 	return n
 }
--- a/peridot-entry/spreader/link.go
+++ b/peridot-entry/spreader/link.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"peridotswitch.example/common/bounder"
 	"peridotswitch.example/peridot-entry/spreaderpb"
 )
 
@@ -38,7 +39,7 @@
 		s:         s,
 		peer:      p,
 		transport: t,
-		client:    spreaderpb.NewSpreaderProtobufClient("http://"+p.Address, &http.Client{Transport: t}),
+		client:    spreaderpb.NewSpreaderProtobufClient("http://"+p.Address, bounder.NewClient(t, 0)),
 		wake:      make(chan struct{}, 1),
 	}
 }
--- a/peridot-entry/supervisor/supervisor.go
+++ b/peridot-entry/supervisor/supervisor.go
@@ -128,11 +128,21 @@
 		OnFinish:      func(t *tracer.Trace) { s.stats.record(t) },
 	})
 	s.informer = s.newInformer(l.operators)
-	s.peers = server.New(server.Config{Listener: l.peers, Handler: s.peerHandler()})
+	s.peers = server.New(server.Config{
+		Listener: l.peers, Handler: s.peerHandler(), ReadHeaderTimeout: peerReadTimeout, ReadTimeout: peerReadTimeout,
+		MaxHeaderBytes: maxPeerHeaderBytes, MaxBodyBytes: maxPeerBodyBytes,
+	})
 	cfg.Log.Info().Str("listen", cfg.Listen).Str("operator-listen", cfg.OperatorListen).Msg("entry started")
 	return s, nil
 }
 
+// Limits of requests from other entries, of which the lists of all backend servers are the largest.
+const (
+	peerReadTimeout    = 10 * time.Second
+	maxPeerHeaderBytes = 16 << 10
+	maxPeerBodyBytes   = 16 << 20
+)
+
 // Close stops the entry. The entry is removed from the address lists given to callers, goes on taking calls for LameDuck, and then
 // waits for calls in flight until ctx ends.
 func (s *Supervisor) Close(ctx context.Context) (err error) {
