receiver: bodies of all calls together are bounded

A call that doesn't fit is refused at once as not run, with Retry-After and the cause entry-memory; small calls are served.

The spec of routed calls with large bodies fails with the bound off (200, want 503).

--- a/peridot-entry/receiver/call.go
+++ b/peridot-entry/receiver/call.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"peridotswitch.example/common/bounder"
 	"peridotswitch.example/common/parser"
 	"peridotswitch.example/peridot-entry/dispatcher"
 	"peridotswitch.example/peridot-entry/tracer"
@@ -41,6 +42,9 @@
 			se = &statusError{http.StatusBadRequest, err.Error()}
 		}
 		w.Header().Set("Peridot-Outcome", string(dispatcher.NotRun))
+		if se.status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", formatSeconds(bodyMemoryRetryAfter))
+		}
 		writeError(w, req, se.status, se.message)
 		return
 	}
@@ -123,6 +127,8 @@
 		return body, errors.WithMessage(rc.SetReadDeadline(time.Time{}), "read the body")
 	case errors.As(err, &tooLarge):
 		return nil, &statusError{http.StatusRequestEntityTooLarge, "the body is over " + strconv.FormatInt(limit, 10) + " bytes"}
+	case errors.Is(err, bounder.ErrFull):
+		return nil, &statusError{http.StatusServiceUnavailable, "the bodies of other calls use all the memory set aside for bodies"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, &statusError{http.StatusRequestTimeout, "the body was not in by the call's deadline"}
 	}
@@ -229,7 +235,12 @@
 	h.Set("Peridot-Attempts", strconv.Itoa(len(c.Trace.Attempts)))
 	h.Set("Server-Timing", c.Trace.ServerTiming())
 	if e.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int((e.RetryAfter+time.Second-1)/time.Second)))
+		h.Set("Retry-After", formatSeconds(e.RetryAfter))
 	}
 	writeError(w, req, e.Status, e.Error())
 }
+
+// formatSeconds returns d in whole seconds, rounded up.
+func formatSeconds(d time.Duration) string {
+	return strconv.Itoa(int((d + time.Second - 1) / time.Second))
+}
--- a/peridot-entry/receiver/receiver.go
+++ b/peridot-entry/receiver/receiver.go
@@ -52,6 +52,9 @@
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
 	maxBodyBytes      = 1 << 20
+	// maxBodiesBytes limits the bodies of all calls that are in memory: together with the buffers that they are read with, less than half
+	// of the smallest instance's memory.
+	maxBodiesBytes = 32 << 20
 	// writeTimeout limits how long a client may take to read a response.
 	writeTimeout = time.Minute
 )
@@ -72,6 +75,7 @@
 	r.srv = server.New(server.Config{
 		Listener: cfg.Listener, Handler: http.HandlerFunc(r.serveHTTP),
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		MaxBodyBytes: maxBodiesBytes,
 	})
 	return r
 }
--- a/peridot-entry/receiver/routed.go
+++ b/peridot-entry/receiver/routed.go
@@ -27,6 +27,8 @@
 }
 
 const (
+	// bodyMemoryRetryAfter is about how long a call takes, after which the memory of its body is free.
+	bodyMemoryRetryAfter = 500 * time.Millisecond
 	// noConfigurationRetryAfter is about how long an entry takes to get its configuration after a start.
 	noConfigurationRetryAfter = 300 * time.Millisecond
 	// maxInitWait limits how long a call waits at an entry that has just started: about the time that an election and the first
@@ -170,7 +172,10 @@
 		return nil
 	}
 	var se *statusError
-	if errors.As(err, &se) {
+	if errors.As(err, &se) && se.status == http.StatusServiceUnavailable {
+		return &refusal{se.status, "entry-memory", se.message, bodyMemoryRetryAfter}
+	}
+	if se != nil {
 		return &refusal{se.status, "bad-call", se.message, 0}
 	}
 	return &refusal{http.StatusBadRequest, "bad-call", err.Error(), 0}
--- a/peridot-entry/receiver/routed_test.go
+++ b/peridot-entry/receiver/routed_test.go
@@ -209,3 +209,63 @@
 		Expect(tr.receiver.initWaiters.Load()).To(BeEquivalentTo(maxInitWaiters))
 	})
 })
+
+var _ = Describe("routed calls with large bodies", func() {
+	// Guards against callers whose bodies together use up the memory of the entry, and against refusals of small calls beside them.
+	It("are refused as not run while the bodies of others use the memory for bodies, and small calls are not", func() {
+		tr := newRoutedTestReceiver()
+		tr.cfg.Routing.Limits.BodyBytes = maxRoutedBodyBytes
+		const large = 12 << 20
+		// Each call that reaches the dispatcher needs a place in inWork.
+		inWork, release := make(chan struct{}, 8), make(chan struct{})
+		client := &http.Client{Timeout: 5 * time.Second}
+		defer client.CloseIdleConnections()
+		tr.do = func(context.Context, *dispatcher.Call) (*dispatcher.Response, error) {
+			inWork <- struct{}{}
+			select {
+			case <-release:
+			case <-time.After(time.Second):
+			}
+			return respondWith(http.StatusOK)(context.Background(), nil)
+		}
+		post := func(size int) *http.Response {
+			req, err := http.NewRequest(http.MethodPost, "http://"+tr.address+"/p/x", io.LimitReader(zeros{}, int64(size)))
+			Expect(err).NotTo(HaveOccurred())
+			req.Host = "shop.example"
+			res, err := client.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = io.Copy(io.Discard, res.Body)
+			Expect(res.Body.Close()).To(Succeed())
+			return res
+		}
+		var wg sync.WaitGroup
+		for range maxBodiesBytes / large {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				Expect(post(large).StatusCode).To(Equal(http.StatusOK))
+			})
+			<-inWork
+		}
+		refused := post(large)
+		Expect(refused.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(tr.lastTrace().Cause).To(Equal("entry-memory"))
+		Expect(tr.lastTrace().Outcome).To(Equal(string(dispatcher.NotRun)))
+		wg.Go(func() {
+			defer GinkgoRecover()
+			Expect(post(1000).StatusCode).To(Equal(http.StatusOK), "a small call")
+		})
+		<-inWork
+		close(release)
+		wg.Wait()
+		Expect(post(large).StatusCode).To(Equal(http.StatusOK), "once the others have ended")
+	})
+})
+
+// zeros reads zeros without end.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
