sender: a marker that is refused proves as much as one that is answered

A server that is full refuses the marker too, and one that has taken over the address answers it with its own name: in both cases the call's refusal couldn't be told from a stray, and an unsafe call ended 502 where a second server could run it. What proves is the order: the marker's response is the last one on the connection, says so, and names a server, as no response to a call does. A 421 with Connection: close doesn't count.

--- a/common/bounder/bounder.go
+++ b/common/bounder/bounder.go
@@ -34,7 +34,8 @@
 // New returns a Bounder.
 func New(cfg Config) *Bounder { return &Bounder{cfg: cfg} }
 
-// Message is a message of which no more is read than the Bounder allows. Close must be called once its bytes are no longer in memory.
+// Message is a message of which no more is read than the Bounder allows. Close must be called once its bytes are no longer in
+// memory. It is not safe for concurrent use.
 type Message struct {
 	io.ReadCloser
 	b              *Bounder
--- a/peridot-entry/sender/match.go
+++ b/peridot-entry/sender/match.go
@@ -9,8 +9,8 @@
 
 var (
 	errStale    = errors.New("the connection brings answers to other requests")
-	errNotOwn   = errors.New("an answer that names no request, which may be another's")
-	errUnmarked = errors.New("an answer that names no request, and no way to find out whose it is")
+	errNotOwn   = errors.New("a response that names no request and may be another's")
+	errUnmarked = errors.New("a response that names no request, and no way to find out whose it is")
 )
 
 // match is what a response is to the request that waits for one.
@@ -137,7 +137,8 @@
 	case id != "" && e.probe:
 		// Probes have no id, so that a response with one is an earlier call's.
 		return stray
-	case e.marker && res.Close && !e.info.Shed && e.info.Server == e.server.InstanceID:
+	case e.marker && res.Close && e.info.Server != "" && !e.info.WrongServer:
+		// A server that is full may refuse the marker too.
 		return marked
 	}
 	e.proof = ProofOrder
@@ -179,7 +180,7 @@
 	if err = m.Write(e.conn.writer); err == nil {
 		err = e.conn.writer.Flush()
 	}
-	return errors.WithMessage(err, "find out whose an answer without a request id is")
+	return errors.WithMessage(err, "find out whose a response without a request id is")
 }
 
 // isWritten reports whether a body that is written in the background has been written completely.
