--- a/prover/platform_strays_test.go
+++ b/prover/platform_strays_test.go
@@ -104,6 +104,20 @@
 	return func([]byte) []byte { return text }
 }
 
+// strayTexts returns, by name, the stray responses that follow a call's response.
+func strayTexts() map[string]func(response []byte) []byte {
+	const notExecuted = "Not-Executed: 1\r\n"
+	return map[string]func(response []byte) []byte{
+		"refusals":                       unnamed(http.StatusServiceUnavailable, notExecuted),
+		"refusals that close":            unnamed(http.StatusServiceUnavailable, notExecuted+"Connection: close\r\n"),
+		"another server has the address": unnamed(http.StatusMisdirectedRequest, ""),
+		"bad requests":                   unnamed(http.StatusBadRequest, notExecuted),
+		"successes":                      unnamed(http.StatusOK, "Server-Stamp: 1\r\n"),
+		"failures":                       unnamed(http.StatusInternalServerError, "Server-Stamp: 1\r\n"),
+		"copies of responses":            bytes.Clone,
+	}
+}
+
 // callCounts counts what callers and servers saw of calls that may run only once.
 type callCounts struct {
 	Calls, Served, Twice, RefusedAndRan, Mixed int
@@ -195,25 +209,20 @@
 		share   = 0.05
 		callers = 40
 	)
-	const notExecuted = "Not-Executed: 1\r\n"
-
 	// Guards against a call that is sent to a second server, or refused, because of a response that is not its own; the first server runs it.
 	It("make no unsafe call run twice, none refused that ran and none get another response", func() {
+		texts := strayTexts()
 		kinds := map[string]strays{
 			"none":                                 {},
 			"a fifth refused":                      {refuse: 0.2},
-			"refusals":                             {afterCall: share, text: unnamed(http.StatusServiceUnavailable, notExecuted)},
-			"refusals, and some calls refused":     {afterCall: share, text: unnamed(http.StatusServiceUnavailable, notExecuted), refuse: 0.2, twice: 0.3},
-			"refusals that close":                  {afterCall: share, text: unnamed(http.StatusServiceUnavailable, notExecuted+"Connection: close\r\n")},
-			"another server has the address":       {afterCall: share, text: unnamed(http.StatusMisdirectedRequest, "")},
-			"bad requests":                         {afterCall: share, text: unnamed(http.StatusBadRequest, notExecuted)},
-			"successes":                            {afterCall: share, text: unnamed(http.StatusOK, "Server-Stamp: 1\r\n")},
-			"failures":                             {afterCall: share, text: unnamed(http.StatusInternalServerError, "Server-Stamp: 1\r\n")},
-			"copies of responses":                  {afterCall: share, text: bytes.Clone},
+			"refusals, and some calls refused":     {afterCall: share, text: texts["refusals"], refuse: 0.2, twice: 0.3},
 			"copies of responses to probes":        {afterProbe: share, text: bytes.Clone},
-			"refusals, after probes":               {afterProbe: share, text: unnamed(http.StatusServiceUnavailable, notExecuted)},
+			"refusals, after probes":               {afterProbe: share, text: texts["refusals"]},
 			"after probes, and some calls refused": {afterProbe: share, text: bytes.Clone, refuse: 0.2, twice: 0.3},
 		}
+		for name, text := range texts {
+			kinds[name] = strays{afterCall: share, text: text}
+		}
 		f := newPlatformFleet(3, 3)
 		Expect(f.putConfig(configJSON(7))).To(Equal(http.StatusOK))
 		for range 6 {
--- a/prover/soak_test.go
+++ b/prover/soak_test.go
@@ -20,6 +20,7 @@
 var (
 	soakSeeds      = flag.String("soak-seeds", "1", "seeds of the soak test, such as 1-50 or 3,7,9")
 	soakFor        = flag.Duration("soak-for", 8*time.Second, "how long faults are injected for each seed")
+	soakStrays     = flag.Float64("soak-strays", 0, "share of successful calls after which servers write one more response, of a kind that the seed chooses for each")
 	soakFaultNames = flag.String("soak-faults", "", "comma-separated names of the faults to inject; all when empty")
 )
 
--- a/prover/soak_workload_test.go
+++ b/prover/soak_workload_test.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -40,7 +42,7 @@
 	v.proxy, closeProxy = openProxy(l.Addr().String())
 	v.announcing.Store(true)
 	srv := &http.Server{Handler: v}
-	go func() { _ = srv.Serve(l) }()
+	go func() { _ = srv.Serve(s.withStrays(l)) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stop = func() {
 		cancel()
@@ -65,6 +67,23 @@
 	return v
 }
 
+// withStrays returns a listener whose connections carry the stray responses that -soak-strays asks for.
+func (s *soak) withStrays(l net.Listener) net.Listener {
+	if *soakStrays == 0 {
+		return l
+	}
+	s.mu.Lock()
+	n := uint64(len(s.servers))
+	s.mu.Unlock()
+	rnd := rand.New(rand.NewPCG(s.seed, n))
+	texts := strayTexts()
+	names := slices.Sorted(maps.Keys(texts))
+	name := names[rnd.IntN(len(names))]
+	s.logEvent("server %d writes strays: %s", n, name)
+	kind := &strays{afterCall: *soakStrays, afterProbe: *soakStrays, text: texts[name]}
+	return &strayListener{Listener: l, play: func() *strays { return kind }, rand: rnd}
+}
+
 func (v *soakServer) sendHeartbeat(c *soakNode, state string) {
 	postJSON(c.url(controlPort, "/instances/"+v.id+"/heartbeat"), fmt.Sprintf(
 		`{"address":"%s","born":%d,"info":{"service":"s","version":"v1","zone":"a","concurrency":6},"status":{"state":"%s","seq":%d,"warmup_left_ms":0}}`,
