sender: a probe's response names its server

On the platform a response that names no server is not a probe's own, unless it is the first on its connection or a refusal. Its own response is read after it.

TestProbeResponseNamesItsServer failed before: status 200 of server "" and 0 strays, want 200 of "i" and 1.

--- a/peridot-entry/sender/match.go
+++ b/peridot-entry/sender/match.go
@@ -115,14 +115,8 @@
 	}
 }
 
-// invitesDoubt reports whether a response like the one that read returned would be taken for another request's if it came again, or may be
-// another request's itself, so that one more response is due.
-func (e *exchange) invitesDoubt() bool {
-	if e.info.RequestID != "" {
-		return false
-	}
-	return e.info.Shed || e.probe && e.cfg.NamesRequests && e.info.Server == ""
-}
+// invitesDoubt reports whether a response like the one that read returned would be taken for another request's if it came again.
+func (e *exchange) invitesDoubt() bool { return e.info.Shed && e.info.RequestID == "" }
 
 // match finds out what the response whose header was read last is to this request, and sets proof if it is its own.
 func (e *exchange) match(res *http.Response) match {
@@ -145,6 +139,9 @@
 	if e.conn.exchanges == 1 && e.dropped == 0 {
 		e.proof = ProofFirst
 	}
+	if e.probe && e.proof == ProofOrder && e.cfg.NamesRequests && !e.info.Shed && e.info.Server == "" {
+		return stray
+	}
 	if e.proof == ProofFirst || e.requestID == "" || !e.info.Shed && !e.cfg.NamesRequests {
 		return own
 	}
--- a/peridot-entry/sender/match_test.go
+++ b/peridot-entry/sender/match_test.go
@@ -205,3 +205,49 @@
 		})
 	}
 }
+
+// Guards against a probe that takes another request's response for its own: a server that seems to report no load isn't probed for a time.
+func TestProbeResponseNamesItsServer(t *testing.T) {
+	const (
+		named   = "HTTP/1.1 200 OK\r\nId: first\r\nContent-Length: 0\r\n\r\n"
+		success = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+		failure = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
+		health  = "HTTP/1.1 200 OK\r\nServer: i\r\nContent-Length: 0\r\n\r\n"
+		failing = "HTTP/1.1 503 Failing\r\nServer: i\r\nContent-Length: 0\r\n\r\n"
+	)
+	for name, test := range map[string]struct {
+		text           string
+		status, strays int
+	}{
+		"its own":                  {health, http.StatusOK, 0},
+		"its own, of a bad server": {failing, http.StatusServiceUnavailable, 0},
+		"another success first":    {success + health, http.StatusOK, 1},
+		"another failure first":    {failure + failing, http.StatusServiceUnavailable, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			strays := 0
+			s := New(Config{ParseHeaders: parseMatchHeaders, NamesRequests: true, OnStray: func(Stray) { strays++ }})
+			defer s.Close()
+			address := startScripted(t, func(n int, _ string) string {
+				if n == 0 {
+					return named
+				}
+				return test.text
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			var res *Response
+			for _, req := range []*Request{{ID: "first"}, {Probe: true}} {
+				req.Address, req.Method, req.Path = address, http.MethodGet, "/item"
+				var err error
+				if res, err = s.Do(ctx, req); err != nil {
+					t.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, res.Body)
+			}
+			if res.Status != test.status || res.Server != "i" || strays != test.strays {
+				t.Errorf("status %d of server %q and %d strays, want %d of %q and %d", res.Status, res.Server, strays, test.status, "i", test.strays)
+			}
+		})
+	}
+}
