--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -26,6 +27,8 @@
 	work                       time.Duration
 	rec                        *recorder
 	control                    []string
+	// needy is set while the server is in need and names the requests per second that it takes.
+	needy atomic.Bool
 	// onRun is called when the server begins to run a request.
 	onRun atomic.Pointer[func(b *backend, r *http.Request)]
 
@@ -40,6 +43,9 @@
 	mu         sync.Mutex
 	target     string
 	next       int
+	// limitValue is what limit returned last, computed at limitAt.
+	limitValue float64
+	limitAt    time.Time
 	acked      atomic.Bool
 }
 
@@ -182,10 +188,32 @@
 		return
 	}
 	load()
+	if b.needy.Load() {
+		h.Set("Server-Limit", fmt.Sprintf("%.2f", b.limit()))
+	}
 	h.Set("Server-Stamp", "stamp-"+b.id+"-"+id)
 	fmt.Fprintf(w, "%s ran %s with %d bytes", b.id, id, len(body))
 }
 
+const (
+	// limitInterval is how often a server in need decides anew how many requests it takes.
+	limitInterval = 100 * time.Millisecond
+	// limitShare is the share of its capacity that it takes, and limitSpread by how much its machine's speed varies.
+	limitShare, limitSpread = 0.8, 0.05
+)
+
+// limit returns the requests per second that a server in need takes: a share of what its slots complete at the present speed of its machine,
+// which it shares with others.
+func (b *backend) limit() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now := time.Now(); now.Sub(b.limitAt) >= limitInterval {
+		speed := 1 + limitSpread*(2*rand.Float64()-1)
+		b.limitAt, b.limitValue = now, limitShare*speed*backendSlots*float64(time.Second)/float64(b.work)
+	}
+	return b.limitValue
+}
+
 // httpClient makes one request on each connection, which it closes when it gives up.
 var httpClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -44,18 +45,13 @@
 	return res.StatusCode, res.Header.Get("Server-Stamp"), string(b)
 }
 
-// lookUps sends safe requests to a path at a rate until ctx ends.
-func (c *caller) lookUps(ctx context.Context, path string, perSecond int) {
-	t := time.NewTicker(time.Second / time.Duration(perSecond))
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+// lookUps sends safe requests below a path to random entries, at random times with a mean rate, until ctx ends.
+func (c *caller) lookUps(ctx context.Context, path string, perSecond float64) {
+	for next := time.Now(); ctx.Err() == nil; {
+		next = next.Add(time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second)))
+		time.Sleep(time.Until(next))
 		n := c.n.Add(1)
-		e := c.f.entries[int(n)%len(c.f.entries)]
+		e := c.f.entries[rand.IntN(len(c.f.entries))]
 		go func() {
 			if status, _, _ := c.send(e, http.MethodGet, path+fmt.Sprint(n), fmt.Sprintf("q%06d", n), nil, 2*time.Second); status == http.StatusOK {
 				c.ok.Add(1)
