--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -18,10 +19,26 @@
 	n      atomic.Int64
 	ok     atomic.Int64
 	failed atomic.Int64
+
+	mu   sync.Mutex
+	sent map[string]sentRequest
+}
+
+// sentRequest says when and to which entry a request was sent.
+type sentRequest struct {
+	at    time.Time
+	entry string
+}
+
+func (c *caller) sentAt(id string) (s sentRequest, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok = c.sent[id]
+	return s, ok
 }
 
 func newCaller(f *fleet, rec *recorder) *caller {
-	return &caller{f: f, rec: rec, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second, DisableCompression: true}}}
+	return &caller{f: f, rec: rec, sent: make(map[string]sentRequest), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second, DisableCompression: true}}}
 }
 
 // send sends one request to an entry; the status is 0 without a complete answer.
@@ -33,6 +50,9 @@
 	req.Host = "shop.example"
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(budget.Milliseconds()))
+	c.mu.Lock()
+	c.sent[id] = sentRequest{time.Now(), e.name}
+	c.mu.Unlock()
 	res, err := c.client.Do(req)
 	if err != nil {
 		return 0, "", ""
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -80,9 +80,13 @@
 
 type fleetConfig struct {
 	control, entries int
-	memoryMB         int
+	// spread is the time within which the machines start, one after the other.
+	spread time.Duration
 }
 
+// memoryMB is the memory of a machine of the small sites.
+const memoryMB = 284
+
 // startFleet starts control members and entries in three zones.
 func startFleet(root string, rec *recorder, cfg fleetConfig) *fleet {
 	dir, err := os.MkdirTemp("", "review-2-")
@@ -102,14 +106,13 @@
 		m.settings = filepath.Join(dir, m.name+".yaml")
 		m.logPath = filepath.Join(dir, m.name+".log")
 	}
-	memory := cfg.memoryMB
-	if memory == 0 {
-		memory = 284
-	}
 	for _, m := range f.machines() {
-		f.writeSettings(m, true, memory)
+		f.writeSettings(m, true)
 	}
-	for _, m := range f.machines() {
+	for i, m := range f.machines() {
+		if i > 0 {
+			time.Sleep(cfg.spread / time.Duration(len(f.machines())-1))
+		}
 		m.start(root)
 	}
 	return f
@@ -122,7 +125,7 @@
 var placeholder = regexp.MustCompile(`\{\{([a-z_.]+)(\|json)?\}\}`)
 
 // writeSettings fills in the template of the deploy file as the platform does.
-func (f *fleet) writeSettings(m *machine, bootstrap bool, memoryMB int) {
+func (f *fleet) writeSettings(m *machine, bootstrap bool) {
 	text, err := os.ReadFile(filepath.Join(f.root, "deploy", "settings.yaml"))
 	check(err)
 	var seeds []string
--- a/review/standin-2/operator.go
+++ b/review/standin-2/operator.go
@@ -10,6 +10,9 @@
 	rec *recorder
 }
 
+// maxPause is the longest pause between two attempts.
+const maxPause = time.Second
+
 // order sends an order to the member with the given number first, and again to the next ones until one acknowledges it. A member has one
 // second to answer. It returns the time of the acknowledgement, and false if there was none within limit.
 func (o *operator) order(what, path string, body any, first int, limit time.Duration) (time.Time, bool) {
@@ -23,7 +26,7 @@
 			return time.Now(), true
 		}
 		time.Sleep(pause)
-		pause *= 2
+		pause = min(2*pause, maxPause)
 	}
 	return time.Time{}, false
 }
