--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,9 +5,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"runtime"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -48,12 +50,22 @@
 	root    string
 	rec     *recorder
 	trouble bool
+
+	mu      sync.Mutex
 	cleanup []func()
 }
 
-func (w *world) defer_(f func()) { w.cleanup = append(w.cleanup, f) }
+func (w *world) defer_(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cleanup = append(w.cleanup, f)
+}
 
+// close ends what the case has started, once.
 func (w *world) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	defer func() { w.cleanup = nil }()
 	for i := len(w.cleanup) - 1; i >= 0; i-- {
 		w.cleanup[i]()
 	}
@@ -84,6 +96,13 @@
 	defer file.Close()
 	w := &world{root: root, rec: &recorder{f: file, begin: time.Now()}, trouble: os.Getenv("TROUBLE") != "0"}
 	w.rec.log("trouble %t", w.trouble)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		w.close()
+		os.Exit(exitNotRun)
+	}()
 	defer func() {
 		if v := recover(); v != nil {
 			w.rec.log("the case could not run: %v", v)
