--- a/common/admitter/conn.go
+++ b/common/admitter/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -90,6 +91,25 @@
 	return n, err
 }
 
+// isClosedByPeer reports whether the peer has closed or reset the connection. It must not wait for a Read in progress.
+func (c *conn) isClosedByPeer() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = err == nil && n == 0 || errors.Is(err, syscall.ECONNRESET)
+	})
+	return closed || err != nil
+}
+
 // isEmpty reports whether the start of a request has too many empty lines.
 func isEmpty(p []byte) bool {
 	if len(p) <= maxEmptyBytes {
--- a/common/admitter/serving.go
+++ b/common/admitter/serving.go
@@ -46,6 +46,13 @@
 	return ctx
 }
 
+// IsClientGone reports whether the client of a request has closed its connection. The request's context ends only once net/http has noticed
+// that, which can be after the handler has begun. It returns false for a request of a server without a Listener.
+func IsClientGone(ctx context.Context) bool {
+	c, ok := ctx.Value(contextKey{}).(*conn)
+	return ok && c.isClosedByPeer()
+}
+
 // ConnState is for http.Server.ConnState of a server with a Listener.
 func ConnState(nc net.Conn, state http.ConnState) {
 	if c, ok := nc.(*conn); ok && state == http.StateIdle {
--- a/peridot-control/arbiter/arbiter.go
+++ b/peridot-control/arbiter/arbiter.go
@@ -55,6 +55,8 @@
 	// WinnerChangeID is the id of the accepted change that has the same base revision, when this change was refused because of it.
 	WinnerChangeID string `json:"winner,omitempty"`
 	Refusal        string `json:"refusal,omitempty"`
+	// Outdated is set if the change was made from an earlier state than the current one. Results that are kept by change id don't have it.
+	Outdated bool `json:"-"`
 }
 
 // Configuration is one revision of the configuration: the inventory, the rules and the routing document.
--- a/peridot-control/arbiter/evacuation.go
+++ b/peridot-control/arbiter/evacuation.go
@@ -6,6 +6,8 @@
 type EvacuationChange struct {
 	Zone string `json:"zone"`
 	End  bool   `json:"end,omitempty"`
+	// Version is the version of the list that the change was made from; nil for any, as in the logs of earlier builds.
+	Version *uint64 `json:"version,omitempty"`
 }
 
 // maxEvacuatedZones limits the list, which is sent to every entry. It is far above the number of zones of a region; names that no server
@@ -25,8 +27,12 @@
 	return found
 }
 
-// apply replaces Zones rather than change it, because readers may hold it. A repeated change is accepted and changes nothing.
+// apply replaces Zones rather than change it, because readers may hold it. A repeated change is accepted and changes nothing. A change made
+// from an earlier version is refused, because it may have been delayed and would undo later ones.
 func (e *Evacuations) apply(c *EvacuationChange) ChangeResult {
+	if c.Version != nil && *c.Version != e.Version {
+		return ChangeResult{Outdated: true, Refusal: "the list of evacuated availability zones has changed"}
+	}
 	i, found := slices.BinarySearch(e.Zones, c.Zone)
 	switch {
 	case found != c.End:
--- a/peridot-control/arbiter/evacuation_test.go
+++ b/peridot-control/arbiter/evacuation_test.go
@@ -18,6 +18,10 @@
 		return list
 	}
 	end := func(zone string) EvacuationChange { return EvacuationChange{Zone: zone, End: true} }
+	from := func(version uint64, c EvacuationChange) EvacuationChange {
+		c.Version = &version
+		return c
+	}
 	var many []string
 	for i := range maxEvacuatedZones {
 		many = append(many, fmt.Sprintf("%03d", i))
@@ -39,6 +43,10 @@
 		"as many zones as may be":      {start(many...), many, maxEvacuatedZones, 0},
 		"one more than that":           {start(append(many[:len(many):len(many)], "x")...), many, maxEvacuatedZones, 1},
 		"a repeated one of the most":   {start(append(many[:len(many):len(many)], "000")...), many, maxEvacuatedZones, 0},
+		"made from the version":        {append(start("a"), from(1, end("a")), from(2, EvacuationChange{Zone: "b"})), []string{"b"}, 3, 0},
+		"made from version 0":          {[]EvacuationChange{from(0, EvacuationChange{Zone: "a"})}, []string{"a"}, 1, 0},
+		"made from an earlier version": {append(start("a"), end("a"), EvacuationChange{Zone: "a"}, from(1, end("a"))), []string{"a"}, 3, 1},
+		"old one that changes nothing": {append(start("a", "b"), from(0, EvacuationChange{Zone: "a"})), []string{"a", "b"}, 2, 1},
 		"another after one of the end": {append(start(many...), end("000"), EvacuationChange{Zone: "x"}), append(many[1:len(many):len(many)], "x"), maxEvacuatedZones + 2, 0},
 	}
 	for name, test := range tests {
--- a/peridot-control/deliverer/evacuation_test.go
+++ b/peridot-control/deliverer/evacuation_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +19,7 @@
 
 	"peridotswitch.example/common/delivererpb"
 	"peridotswitch.example/common/operatorpb"
+	"peridotswitch.example/common/server"
 	"peridotswitch.example/peridot-control/arbiter"
 )
 
@@ -30,6 +35,8 @@
 	// propose commits a command; the members of a fleet fail by replacing it.
 	propose   func(context.Context, arbiter.Command) (arbiter.ChangeResult, error)
 	proposals int
+	// beforeRequest replaces each request between members; nil for none.
+	beforeRequest func(*http.Request) *http.Request
 }
 
 func newEvacuationFleet(t *testing.T, n int) *evacuationFleet {
@@ -45,6 +52,14 @@
 				Current:     func() arbiter.Configuration { return f.list.Current() },
 				Status:      func() Status { return Status{} },
 				ReadIndex:   func(context.Context) (uint64, error) { return 0, nil },
+				QuorumReadIndex: func(context.Context) (uint64, error) {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					if f.leader != i {
+						return 0, errNoLeader
+					}
+					return 0, nil
+				},
 				Servers: func(version uint64) ([]arbiter.Server, bool, uint64) {
 					changed, full := f.list.Servers().ChangesSince(version)
 					return changed, full, f.list.Servers().Version
@@ -65,14 +80,23 @@
 							return arbiter.ChangeResult{}, errNoLeader
 						}
 					}
-					f.proposals++
 					f.mu.Unlock()
+					defer f.set(func() { f.proposals++ })
 					return propose(ctx, cmd)
 				},
 			},
 			clients: make(map[string]*leaderClient), table: newTable(time.Now, time.Minute),
 		}
-		srv := httptest.NewServer(WithRequestHeaders(delivererpb.NewDelivererServer(d)))
+		handler := WithRequestHeaders(delivererpb.NewDelivererServer(d))
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			f.mu.Lock()
+			before := f.beforeRequest
+			f.mu.Unlock()
+			if before != nil {
+				r = before(r)
+			}
+			handler.ServeHTTP(w, r)
+		}))
 		t.Cleanup(srv.Close)
 		f.members = append(f.members, d)
 		f.addresses = append(f.addresses, strings.TrimPrefix(srv.URL, "http://"))
@@ -92,6 +116,13 @@
 	return f.list.Evacuations()
 }
 
+// proposed returns the number of proposals that have been made.
+func (f *evacuationFleet) proposed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.proposals
+}
+
 // set changes the fleet while its members may run.
 func (f *evacuationFleet) set(change func()) {
 	f.mu.Lock()
@@ -183,6 +214,104 @@
 	}
 }
 
+// sendAndLeave sends a command to the member behind a listener whose server has not started, and closes the connection.
+func sendAndLeave(t *testing.T, l net.Listener, end bool) {
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(c, "POST /?end=%t HTTP/1.1\r\nHost: control\r\nContent-Length: 0\r\n\r\n", end)
+	if err = c.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// serveCommands serves commands for zone a at a member and returns a channel with their errors.
+func serveCommands(t *testing.T, l net.Listener, d *Deliverer) <-chan error {
+	errs := make(chan error, 1)
+	srv := server.New(server.Config{Listener: l, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		errs <- d.ChangeEvacuation(r.Context(), "a", r.URL.Query().Get("end") == "true")
+	})})
+	t.Cleanup(func() { _ = srv.Close(context.Background()) })
+	return errs
+}
+
+// Guards against a member that was paused and, once it goes on, passes on a command whose sender has given up: the sender has sent it to
+// another member, and the opposite command after the ack of that.
+func TestCommandOfBeforeAPauseIsRefused(t *testing.T) {
+	for name, member := range map[string]int{"at the leader": 0, "at a follower": 1} {
+		t.Run(name, func(t *testing.T) {
+			for _, end := range []bool{false, true} {
+				f := newEvacuationFleet(t, 3)
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				sendAndLeave(t, l, end)
+				for _, later := range []bool{end, !end} {
+					if err = f.members[2].ChangeEvacuation(context.Background(), "a", later); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if err = <-serveCommands(t, l, f.members[member]); err == nil {
+					t.Error("a command whose sender has given up is acknowledged")
+				}
+				if e := f.evacuations(); e.Contains("a") != end {
+					t.Errorf("after the pause the list is %+v; the last acknowledged command has end: %t", e, !end)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a command that is held up on its way to the leader until after the ack of the opposite one. The leader may not have noticed
+// that the sender has given up when it goes on with the command.
+func TestCommandHeldUpBetweenMembersIsRefused(t *testing.T) {
+	for _, end := range []bool{false, true} {
+		f := newEvacuationFleet(t, 3)
+		if err := f.members[0].ChangeEvacuation(context.Background(), "a", !end); err != nil {
+			t.Fatal(err)
+		}
+		arrived, release := make(chan struct{}), make(chan struct{})
+		releaseOnce := sync.OnceFunc(func() { close(release) })
+		defer releaseOnce()
+		var held atomic.Bool
+		f.set(func() {
+			f.beforeRequest = func(r *http.Request) *http.Request {
+				if !strings.HasSuffix(r.URL.Path, "/SetEvacuation") || !held.CompareAndSwap(false, true) {
+					return r
+				}
+				close(arrived)
+				<-release
+				return r.WithContext(context.WithoutCancel(r.Context()))
+			}
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		result := make(chan error, 1)
+		go func() { result <- f.members[1].ChangeEvacuation(ctx, "a", end) }()
+		<-arrived
+		cancel()
+		if err := <-result; err == nil {
+			t.Fatal("a command whose sender has given up is acknowledged")
+		}
+		for _, later := range []bool{end, !end} {
+			if err := f.members[2].ChangeEvacuation(context.Background(), "a", later); err != nil {
+				t.Fatal(err)
+			}
+		}
+		f.set(func() { f.proposals = 0 })
+		releaseOnce()
+		for deadline := time.Now().Add(5 * time.Second); f.proposed() == 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal("the leader has not gone on with the command")
+			}
+		}
+		if e := f.evacuations(); e.Contains("a") != end {
+			t.Errorf("the list is %+v; the last acknowledged command has end: %t", e, !end)
+		}
+	}
+}
+
 // Guards against entries that lack the list, and against messages that differ from those of before although nothing was ever evacuated.
 func TestWatchRepliesHaveTheEvacuatedZones(t *testing.T) {
 	f := newEvacuationFleet(t, 1)
