--- a/peridot-control/deliverer/deliverer.go
+++ b/peridot-control/deliverer/deliverer.go
@@ -182,11 +182,7 @@
 	if len(d.cfg.Status().Members) == 0 {
 		return nil, twirp.NewError(twirp.Unavailable, "this member has not joined yet; ask another one")
 	}
-	d.queueRenewal(req)
-	d.reports.add(req.ServerReports)
-	if d.suspects.add(req.Suspects) {
-		d.triggerRenewal()
-	}
+	d.record(req)
 	if req.Revision == 0 || !d.isIsolated() {
 		d.waitForUpdate(ctx, req)
 	}
@@ -207,6 +203,24 @@
 	return d.reply(req, cur, lease), nil
 }
 
+// record queues for the leader what a request says of the entry and of what it has seen.
+func (d *Deliverer) record(req *delivererpb.WatchRequest) {
+	d.queueRenewal(req)
+	d.reports.add(req.ServerReports)
+	if d.suspects.add(req.Suspects) {
+		d.triggerRenewal()
+	}
+}
+
+// Report implements delivererpb.Deliverer. A member that can't pass the report on refuses it, so that the entry sends it to another one.
+func (d *Deliverer) Report(_ context.Context, req *delivererpb.WatchRequest) (*delivererpb.ReportReply, error) {
+	if len(d.cfg.Status().Members) == 0 || d.isIsolated() {
+		return nil, twirp.NewError(twirp.Unavailable, "the leader has confirmed nothing here for a while; ask another member")
+	}
+	d.record(req)
+	return &delivererpb.ReportReply{}, nil
+}
+
 // entriesMaxAge is how long after the last confirmation by the leader this member's list of entries may be returned.
 const entriesMaxAge = 3 * time.Second
 
--- a/peridot-entry/follower/control.go
+++ b/peridot-entry/follower/control.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -50,7 +49,6 @@
 	failedMembers map[string]bool
 	// lastFailures holds when each member last failed.
 	lastFailures map[string]time.Time
-	interrupted  atomic.Bool
 	backoff      backoff
 	stuck        stuck
 }
@@ -70,7 +68,7 @@
 		w.addSeeds()
 		err := w.watch(ctx)
 		switch {
-		case ctx.Err() != nil || errors.Is(err, errInterrupted):
+		case ctx.Err() != nil:
 			continue
 		case err == nil:
 			w.recordSuccess()
@@ -83,9 +81,6 @@
 	w.client.CloseIdleConnections()
 }
 
-// errInterrupted is returned for a watch that ReportNow has ended, which says nothing of the member.
-var errInterrupted = errors.New("interrupted")
-
 // switchMember changes from the current member, which has failed, to one that has not, or to any if all have failed. It pauses first.
 func (w *watcher) switchMember(ctx context.Context) {
 	w.failedMembers[w.address()], w.lastFailures[w.address()] = true, time.Now()
@@ -202,12 +197,28 @@
 		w.client.CloseIdleConnections()
 	}
 	w.controlVersion, w.reportsVersion = 0, 0
-	w.client = bounder.NewClient(&http.Transport{
+	w.client = newClient()
+	w.publishMembers()
+}
+
+// newClient returns a client for requests to control members.
+func newClient() *http.Client {
+	return bounder.NewClient(&http.Transport{
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableCompression: true,
 	}, 0)
 }
 
+// publishMembers makes the current member the first one to send reports to.
+func (w *watcher) publishMembers() {
+	if len(w.addresses) == 0 {
+		return
+	}
+	i := w.current % len(w.addresses)
+	members := append(slices.Clone(w.addresses[i:]), w.addresses[:i]...)
+	w.f.members.Store(&members)
+}
+
 // addSeeds adds the seed addresses that the settings name now, and those that control members have told this entry.
 func (w *watcher) addSeeds() {
 	var addresses []string
@@ -228,11 +239,6 @@
 
 func (w *watcher) watch(ctx context.Context) error {
 	f := w.f
-	// What ReportNow was called for before this is in the request.
-	select {
-	case <-f.wake:
-	default:
-	}
 	req := f.cfg.NewWatchRequest()
 	req.EntriesVersion, req.ControlVersion, req.AcceptsDeltas = w.entries.version, w.controlVersion, true
 	req.ServersVersion, req.ServerReportsVersion, req.ContainedVersion = f.serversVersion, w.reportsVersion, f.containedVersion
@@ -249,20 +255,7 @@
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.WaitMs)*time.Millisecond+watchTimeout)
 	defer cancel()
-	watchDone := make(chan struct{})
-	defer close(watchDone)
-	go func() {
-		select {
-		case <-f.wake:
-			w.interrupted.Store(true)
-			cancel()
-		case <-watchDone:
-		}
-	}()
 	reply, err := delivererpb.NewDelivererProtobufClient("http://"+w.address(), w.client).Watch(ctx, req)
-	if w.interrupted.Swap(false) && err != nil {
-		return errInterrupted
-	}
 	if err != nil {
 		return err
 	}
--- a/peridot-entry/follower/follower.go
+++ b/peridot-entry/follower/follower.go
@@ -28,7 +28,10 @@
 	Dir string
 	// NewWatchRequest returns a watch request that describes this entry; the Follower sets its revision, versions and wait.
 	NewWatchRequest func() *delivererpb.WatchRequest
-	// OnError is called after each failed watch, and OnWatchFailure with its cause; nil for no call of the latter.
+	// NewReport returns what ReportNow sends: a request that describes this entry, and a function to call once control has taken it. It is
+	// called concurrently with NewWatchRequest. With nil, ReportNow does nothing.
+	NewReport func() (report *delivererpb.WatchRequest, onTaken func())
+	// OnError is called after each failed watch and report, and OnWatchFailure with its cause; nil for no call of the latter.
 	OnError        func(error)
 	OnWatchFailure func(Cause)
 	// OnStuck is called when watches fail for a reason that retries can't mend, and with nil when they no longer do; nil for no call.
@@ -88,10 +91,12 @@
 	learnedMu     sync.Mutex
 	learned       []string
 	learnedSignal chan struct{}
-	// wake interrupts the current watch, so that the next one begins at once.
-	wake   chan struct{}
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	// wake makes the reporter send a report.
+	wake chan struct{}
+	// members holds the addresses of control members, beginning with the one that is watched. It is replaced when that changes.
+	members atomic.Pointer[[]string]
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
 }
 
 // configuration is a parsed revision with its source documents.
@@ -116,7 +121,11 @@
 			cfg.OnError(errors.WithMessage(err, "stored configuration ignored"))
 		}
 	}
+	f.members.Store(&cfg.Control)
 	f.wg.Go(func() { f.followControl(ctx) })
+	if cfg.NewReport != nil {
+		f.wg.Go(func() { f.sendReports(ctx) })
+	}
 	if !cfg.ServeUnconfirmed {
 		f.wg.Go(func() { f.followPeers(ctx) })
 	}
@@ -129,7 +138,8 @@
 	f.wg.Wait()
 }
 
-// ReportNow sends the current result of NewWatchRequest to control at once.
+// ReportNow sends the result of NewReport to control at once, or reportInterval after the report before. It doesn't wait for that, and leaves
+// the watch under way as it is.
 func (f *Follower) ReportNow() {
 	select {
 	case f.wake <- struct{}{}:
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -233,6 +233,7 @@
 		Control:          s.cfg.Control(),
 		Seeds:            s.cfg.Control,
 		NewWatchRequest:  s.watchRequest,
+		NewReport:        s.report,
 		OnError:          logWatchErrors(s.cfg.Log),
 		OnWatchFailure:   s.recordWatchFailure,
 		OnStuck:          func(err error) { recordStuck(s.cfg.Log, s.stats.meter, err) },
--- a/peridot-entry/supervisor/watch.go
+++ b/peridot-entry/supervisor/watch.go
@@ -20,6 +20,18 @@
 	<-s.followerSet
 	s.reported = s.quarantiner.Reports()
 	s.allowances.recordWatch()
+	return s.newRequest(s.reported)
+}
+
+// report returns a report for control. It may run at the same time as watchRequest; what both contain counts once.
+func (s *Routed) report() (report *delivererpb.WatchRequest, onTaken func()) {
+	<-s.followerSet
+	reported := s.quarantiner.Reports()
+	return s.newRequest(reported), func() { s.quarantiner.Acknowledge(reported) }
+}
+
+// newRequest returns a request that describes this entry and what it has seen.
+func (s *Routed) newRequest(reported []*quarantiner.CrashReport) *delivererpb.WatchRequest {
 	return &delivererpb.WatchRequest{
 		InstanceId:       s.cfg.InstanceID,
 		Address:          s.cfg.Listen,
@@ -29,7 +41,7 @@
 		Synchronised:     s.synchronised.Load() && s.follower.CanServe(),
 		Stopping:         s.stopping.Load(),
 		ServerReports:    encodeServerReports(s.picker.TakeReports()),
-		Suspects:         s.encodeReports(s.reported),
+		Suspects:         s.encodeReports(reported),
 	}
 }
 
