--- a/peridot-control/replicator/introduce.go
+++ b/peridot-control/replicator/introduce.go
@@ -23,8 +23,13 @@
 	spares map[uint64]spare
 	// memberAddresses are the addresses of the members that other processes have reported.
 	memberAddresses map[string]bool
-	// leaving are the members that have announced that they stop, each with the time until which the announcement counts.
-	leaving map[uint64]time.Time
+	// leaving are the members that have announced that they stop.
+	leaving map[uint64]leaving
+}
+
+// leaving is the announcement of a member that it stops: when it was first made, and until when it counts.
+type leaving struct {
+	since, expires time.Time
 }
 
 // spare is a process that has asked to join.
--- a/peridot-control/replicator/leave.go
+++ b/peridot-control/replicator/leave.go
@@ -10,9 +10,10 @@
 	"peridotswitch.example/peridot-control/replicatorpb"
 )
 
-// leaveTimeout bounds Leave: handing over a vote takes two membership changes and at most two checks of the leader.
+// leaveTimeout bounds Leave: the leader may first have to replace a voter that doesn't respond, which takes two membership changes, as handing
+// over a vote does.
 const (
-	leaveTimeout  = time.Second
+	leaveTimeout  = 2 * time.Second
 	leaveInterval = 25 * time.Millisecond
 )
 
@@ -65,24 +66,30 @@
 	return !req.Formed && req.Member.Voter
 }
 
-// IsLeaving reports whether a member has announced recently that it stops.
-func (r *Replicator) IsLeaving(id uint64) bool {
+// Leaving returns how long ago a member first announced that it stops. ok is false if it has not announced that recently.
+func (r *Replicator) Leaving(id uint64) (ago time.Duration, ok bool) {
 	r.discovery.mu.Lock()
 	defer r.discovery.mu.Unlock()
-	return time.Now().Before(r.discovery.leaving[id])
+	l, now := r.discovery.leaving[id], time.Now()
+	return now.Sub(l.since), now.Before(l.expires)
 }
 
 func (d *discovery) addLeaving(id uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	for old, expires := range d.leaving {
-		if now.After(expires) {
+	for old, l := range d.leaving {
+		if now.After(l.expires) {
 			delete(d.leaving, old)
 		}
 	}
 	if d.leaving == nil {
-		d.leaving = make(map[uint64]time.Time)
+		d.leaving = make(map[uint64]leaving)
 	}
-	d.leaving[id] = now.Add(spareTTL)
+	l, repeated := d.leaving[id]
+	if !repeated {
+		l.since = now
+	}
+	l.expires = now.Add(spareTTL)
+	d.leaving[id] = l
 }
--- a/peridot-control/steward/model_check_test.go
+++ b/peridot-control/steward/model_check_test.go
@@ -51,6 +51,20 @@
 			}
 		}}
 	}
+	replaceTogether := func(n int) modelAction {
+		return modelAction{fmt.Sprintf("%d are replaced as planned at the same time", n), false, calm, func(m *model, _ *modelProcess) {
+			old := slices.DeleteFunc(slices.Clone(m.processes), func(p *modelProcess) bool { return p.gone })
+			for range n {
+				m.start(m.add())
+			}
+			m.pass(modelCatchUp + modelTick)
+			old = old[:min(n, len(old)-1)]
+			m.terminate(old...)
+			for _, p := range old {
+				p.gone = true
+			}
+		}}
+	}
 	return []modelAction{
 		{"loses power", true, runs, func(m *model, p *modelProcess) { m.stop(p) }},
 		{"is terminated", true, runs, func(m *model, p *modelProcess) { m.terminate(p) }},
@@ -60,6 +74,17 @@
 			m.nextID++
 			p.id, p.log, p.lost = m.nextID, nil, true
 		}},
+		{"is terminated just after the planned loss of another", true, func(m *model, p *modelProcess) bool { return p.up && calm(m, p) }, func(m *model, p *modelProcess) {
+			i := slices.IndexFunc(m.processes, func(q *modelProcess) bool { return q.up && q != p && q != m.leader })
+			if i < 0 {
+				return
+			}
+			m.start(m.add())
+			m.pass(modelCatchUp + modelTick)
+			m.stop(m.processes[i])
+			m.processes[i].gone = true
+			m.terminate(p)
+		}},
 		{"is lost for good", true, func(m *model, p *modelProcess) bool { return mayLose(m, p) && len(m.processes) < 14 }, func(m *model, p *modelProcess) {
 			m.stop(p)
 			p.gone = true
@@ -74,7 +99,7 @@
 		}},
 		{"one change", false, func(*model, *modelProcess) bool { return true }, func(m *model, _ *modelProcess) { m.work(1) }},
 		after(time.Second), after(3 * time.Second), after(11 * time.Second), after(25 * time.Second),
-		replaceAsPlanned(1), replaceAsPlanned(2), replaceAsPlanned(3),
+		replaceAsPlanned(1), replaceAsPlanned(2), replaceAsPlanned(3), replaceTogether(2), replaceTogether(3),
 	}
 }
 
@@ -246,6 +271,9 @@
 		"two of three members are replaced, and a successor loses its disk": {3, []action{
 			{"2 are replaced as planned", 0}, {"loses its disk", 3},
 		}},
+		"a member is replaced, another one is terminated just then, and the third loses its disk": {3, []action{
+			{"is terminated just after the planned loss of another", 2}, {"3s pass", 0}, {"loses its disk", 0},
+		}},
 		"a member is lost, and once its successor has caught up another disk": {3, []action{
 			{"is lost for good", 0}, {"1s pass", 0}, {"starts", 3}, {"3s pass", 0}, {"1s pass", 0}, {"loses its disk", 1},
 		}},
--- a/peridot-control/steward/model_test.go
+++ b/peridot-control/steward/model_test.go
@@ -16,7 +16,9 @@
 	modelReplaceAfter = 10 * time.Second
 	modelCatchUp      = 4 * time.Second
 	modelRecovery     = 15 * time.Second
-	modelTick         = 500 * time.Millisecond
+	// modelLeave is how long a member that stops waits until its vote is handed over.
+	modelLeave = 2 * time.Second
+	modelTick  = 500 * time.Millisecond
 )
 
 // modelEntry is a log entry; members is nil except for a membership.
@@ -33,7 +35,8 @@
 	steward *Steward
 	// up is set while it runs; gone is set once it never comes back. A member that isn't up has been down since downSince.
 	up, gone, leaving bool
-	downSince         time.Duration
+	// leavingSince is when it announced that it stops.
+	downSince, leavingSince time.Duration
 	// lost is set until it has caught up after the loss of its disk, or of the process that it succeeds.
 	lost     bool
 	caughtUp time.Duration
@@ -48,6 +51,8 @@
 	nextID      uint64
 	leader      *modelProcess
 	leaderSince time.Duration
+	// yielding vote, but aren't elected, because they stop and transfer their leadership.
+	yielding []*modelProcess
 	// acked is the longest log that was committed.
 	acked   []modelEntry
 	request func(members []*replicatorpb.Member) []*replicatorpb.Member
@@ -120,7 +125,13 @@
 	}
 	s.now = func() time.Time { return time.Unix(0, 0).Add(m.now) }
 	s.cfg.Spares = m.spares
-	s.cfg.Leaving = func(id uint64) bool { p := m.process(id); return p != nil && p.leaving }
+	s.cfg.Leaving = func(id uint64) (time.Duration, bool) {
+		p := m.process(id)
+		if p == nil {
+			return 0, false
+		}
+		return m.now - p.leavingSince, p.leaving
+	}
 	s.cfg.AddLearner = func(_ context.Context, l *replicatorpb.Member) error {
 		m.request = func(members []*replicatorpb.Member) []*replicatorpb.Member {
 			return append(members[:len(members):len(members)], l)
@@ -196,7 +207,8 @@
 		grants := func(v *modelProcess) bool {
 			return v.up && (lastTerm(v.log) < lastTerm(p.log) || lastTerm(v.log) == lastTerm(p.log) && len(v.log) <= len(p.log))
 		}
-		if p.up && slices.ContainsFunc(members, func(o *replicatorpb.Member) bool { return o.Voter && o.Id == p.id }) && m.majority(p.log, grants) {
+		isCandidate := p.up && !slices.Contains(m.yielding, p) && slices.ContainsFunc(members, func(o *replicatorpb.Member) bool { return o.Voter && o.Id == p.id })
+		if isCandidate && m.majority(p.log, grants) {
 			m.lead(p)
 			return
 		}
@@ -339,20 +351,41 @@
 	p.up, p.caughtUp, p.steward = true, 0, m.newSteward()
 }
 
-// terminate stops a process with SIGTERM: it transfers its leadership, then its vote.
-func (m *model) terminate(p *modelProcess) {
-	m.elect()
-	if m.leader == p {
-		m.leader = nil
-		p.up = false
+// terminate stops processes with SIGTERM at the same time: each transfers its leadership, then its vote.
+func (m *model) terminate(stopping ...*modelProcess) {
+	if m.elect(); slices.Contains(stopping, m.leader) {
+		m.leader, m.yielding = nil, stopping
 		m.elect()
-		p.up = true
+		m.yielding = nil
 	}
-	if m.leader != nil && p.steward.HandsOver(m.status(p)) {
-		p.leaving = true
-		m.work(maxChanges)
+	left := slices.Clone(stopping)
+	for waited := time.Duration(0); waited < modelLeave; waited += modelTick {
+		left = slices.DeleteFunc(left, func(p *modelProcess) bool {
+			if m.leader != nil && m.leader != p && m.isVoter(p) && p.steward.HandsOver(m.status(p)) {
+				return false
+			}
+			m.stop(p)
+			return true
+		})
+		if len(left) == 0 {
+			return
+		}
+		for _, p := range left {
+			if !p.leaving {
+				p.leaving, p.leavingSince = true, m.now
+			}
+		}
+		m.pass(modelTick)
 	}
-	m.stop(p)
+	for _, p := range left {
+		m.stop(p)
+	}
+}
+
+// isVoter reports whether a process has a vote, by its own log.
+func (m *model) isVoter(p *modelProcess) bool {
+	members, _ := membership(p.log)
+	return slices.ContainsFunc(members, func(o *replicatorpb.Member) bool { return o.Voter && o.Id == p.id })
 }
 
 // losses counts the members that are lost or down.
--- a/peridot-control/steward/policy.go
+++ b/peridot-control/steward/policy.go
@@ -101,8 +101,8 @@
 }
 
 // lostVoter returns the voter to remove or replace first, or nil: one whose data directory is lost before one that stops, and before the one
-// that has been unresponsive for longest. The leader is never lost. A voter that stops isn't lost while another one doesn't respond: it may
-// be started again, and the learner that would get its vote may be the successor of the other one.
+// that has been unresponsive for longest. The leader is never lost. A voter that stops isn't lost until all others have responded after its
+// announcement: it may be started again, and the learner that would get its vote may be the successor of one that doesn't respond.
 func (s *Steward) lostVoter(st *replicator.Status, spares []*replicatorpb.Member) (lost *replicator.MemberStatus) {
 	lostRank := 0
 	for i := range st.Members {
@@ -112,9 +112,9 @@
 		case !m.Member.Voter || m.Member.Id == st.Self.GetId():
 		case s.isSuperseded(st, i, spares):
 			rank = 3
-		case s.isLeaving(m) && s.othersArePrompt(st, m.Member.Id):
+		case s.isLeaving(m) && s.othersRespondedSince(st, m):
 			rank = 2
-		case s.hasFailed(m), s.isUnresponsive(m) && s.hasSuccessor(st, m):
+		case s.hasFailed(m), s.isUnresponsive(m) && s.hasSuccessor(st, m), s.isAwaited(st, m):
 			rank = 1
 		}
 		if rank > lostRank || rank > 0 && rank == lostRank && m.SinceLastAck > lost.SinceLastAck {
@@ -152,7 +152,51 @@
 }
 
 func (s *Steward) isLeaving(m *replicator.MemberStatus) bool {
-	return s.cfg.Leaving != nil && s.cfg.Leaving(m.Member.Id)
+	_, ok := s.leaving(m)
+	return ok
+}
+
+// leaving returns how long ago a member announced that it stops, if it has.
+func (s *Steward) leaving(m *replicator.MemberStatus) (ago time.Duration, ok bool) {
+	if s.cfg.Leaving == nil {
+		return 0, false
+	}
+	return s.cfg.Leaving(m.Member.Id)
+}
+
+// othersRespondedSince reports whether all other voters have responded to a message that was sent after a voter announced that it stops. One
+// that was lost just before the announcement has not, however recently it responded.
+func (s *Steward) othersRespondedSince(st *replicator.Status, stopping *replicator.MemberStatus) bool {
+	ago, _ := s.leaving(stopping)
+	for i := range st.Members {
+		if m := &st.Members[i]; m.Member.Voter && m.Member.Id != stopping.Member.Id && (!s.isPrompt(m) || !hasRespondedSince(m, ago)) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasRespondedSince reports whether a member has acknowledged a message that was sent after an event some time ago.
+func hasRespondedSince(m *replicator.MemberStatus, ago time.Duration) bool {
+	return m.SinceLastAck+ackMargin < ago
+}
+
+// isAwaited reports whether a voter that doesn't respond keeps another one from stopping: it has to be replaced as long as the other one
+// runs, since both together may leave no majority to do so. A learner must be ready, or the number of voters above the target.
+func (s *Steward) isAwaited(st *replicator.Status, silent *replicator.MemberStatus) bool {
+	if s.isPrompt(silent) || silent.SinceLastAck <= s.cfg.ReplaceAfter/promptShare {
+		return false
+	}
+	if len(s.readyLearners(st)) == 0 && countVoters(st) <= s.target(st) {
+		return false
+	}
+	for i := range st.Members {
+		m := &st.Members[i]
+		if ago, ok := s.leaving(m); ok && m.Member.Voter && m.Member.Id != silent.Member.Id && s.isPrompt(m) && !hasRespondedSince(silent, ago) {
+			return true
+		}
+	}
+	return false
 }
 
 // hasSuccessor reports whether an unresponsive voter is lost without waiting for ReplaceAfter: a learner is ready to get a vote in its place,
@@ -187,6 +231,9 @@
 	return false
 }
 
+// ackMargin is more than the error of MemberStatus.SinceLastAck: a tick of the replicator's clock, and the age of the status.
+const ackMargin = 100 * time.Millisecond
+
 // promptShare is the share of ReplaceAfter within which a member must have acknowledged to count as running now. It is shorter than the time
 // that a machine takes to be replaced by another one.
 const promptShare = 16
--- a/peridot-control/steward/steward.go
+++ b/peridot-control/steward/steward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,8 +20,8 @@
 	Status func() *replicator.Status
 	// Spares lists the processes that have asked to join.
 	Spares func() []*replicatorpb.Member
-	// Leaving reports whether a member has announced that it stops; nil if members don't announce it.
-	Leaving            func(id uint64) bool
+	// Leaving returns how long ago a member announced that it stops, if it has; nil if members don't announce it.
+	Leaving            func(id uint64) (ago time.Duration, ok bool)
 	AddLearner         func(context.Context, *replicatorpb.Member) error
 	Promote            func(ctx context.Context, id uint64) error
 	Remove             func(ctx context.Context, id uint64) error
@@ -104,11 +105,11 @@
 	run         func(context.Context) error
 }
 
-// runNextChange makes the next membership change and reports whether there was one, or a learner to wait for.
+// runNextChange makes the next membership change and reports whether there was one, or a member to wait for: a learner, or a voter that stops.
 func (s *Steward) runNextChange(ctx context.Context, st *replicator.Status) bool {
 	next := s.nextChange(st)
 	if next == nil {
-		return s.isCatchingUp(st)
+		return s.isCatchingUp(st) || slices.ContainsFunc(st.Members, func(m replicator.MemberStatus) bool { return s.isLeaving(&m) })
 	}
 	if !s.mu.TryLock() {
 		return false
--- a/peridot-control/steward/steward_test.go
+++ b/peridot-control/steward/steward_test.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -65,48 +66,56 @@
 		// membershipIndex is the index of the membership in force; all but silent members have acknowledged index 10.
 		membershipIndex uint64
 		want            string
+		// announced is how long ago the leaving member has announced that; a second when zero.
+		announced time.Duration
 	}{
-		"all members respond and no spare exists":                                        {15, three, nil, 0, ""},
-		"a spare is added below the maximum of voters":                                   {15, three, []*replicatorpb.Member{spare(4, "d")}, 0, "adding d as a learner"},
-		"a spare isn't added without a maximum of voters":                                {0, three, []*replicatorpb.Member{spare(4, "d")}, 0, ""},
-		"a spare isn't added above the maximum of voters":                                {3, three, []*replicatorpb.Member{spare(4, "d")}, 0, ""},
-		"two learners that have caught up get votes":                                     {15, append(three[:3:3], member(4, "d", false, 0), member(5, "e", false, 0)), nil, 0, "giving the vote to d"},
-		"the second of them as well":                                                     {15, append(three[:3:3], member(4, "d", true, 0), member(5, "e", false, 0)), nil, 0, "giving the vote to e"},
-		"one learner stands by":                                                          {15, append(three[:3:3], member(4, "d", false, 0)), nil, 0, ""},
-		"two learners stand by near the maximum of voters":                               {4, append(three[:3:3], member(4, "d", false, 0), member(5, "e", false, 0)), nil, 0, ""},
-		"the number of voters doesn't grow while one is late":                            {15, append(late[:3:3], member(4, "d", false, 0), member(5, "e", false, 0)), nil, 0, ""},
-		"a learner replaces an unresponsive voter":                                       {15, append(awayThree[:3:3], current(4, "d"), learner(5, "e")), nil, 12, "removing c"},
-		"it gets its vote first if the number of voters is odd":                          {15, append(awayThree[:3:3], learner(4, "d"), learner(5, "e")), nil, 8, "giving the vote to d"},
-		"a leaving voter is replaced by a learner":                                       {15, append(three[:2:2], member(leavingID, "c", true, 0), member(4, "d", false, 0)), nil, 0, "giving the vote to d"},
-		"a leaving voter with a successor is removed":                                    {15, append(three[:2:2], member(leavingID, "c", true, 0), member(4, "d", true, 0)), nil, 0, "removing c"},
-		"a leaving voter isn't removed without a successor":                              {15, append(three[:2:2], member(leavingID, "c", true, 0)), nil, 0, ""},
-		"a leaving voter keeps its vote while another is late":                           {15, []replicator.MemberStatus{current(1, "a"), away(2, "b", replaceAfter/5), current(leavingID, "c"), learner(4, "d")}, nil, 8, ""},
-		"a leaving voter keeps its vote while a new leader has heard nothing of another": {15, []replicator.MemberStatus{current(1, "a"), unheard(2, "b"), current(leavingID, "c"), learner(4, "d")}, nil, 8, ""},
-		"a leaving learner is removed":                                                   {15, append(three[:3:3], member(leavingID, "d", false, 0)), nil, 0, "removing learner d"},
-		"two of five voters that are lost are not removed":                               {15, append(three[:2:2], away(3, "c", time.Minute), away(4, "d", time.Minute), current(5, "e")), nil, 12, ""},
-		"a member that lost its data directory is added under its new id":                {15, three, []*replicatorpb.Member{spare(9, "c")}, 0, "adding c as a learner in place of c"},
-		"it gets its vote before the lost one is removed":                                {15, append(three[:3:3], member(9, "c", false, 0)), nil, 0, "giving the vote to c"},
-		"its vote counts before that of a learner at another address":                    {15, append(three[:3:3], member(8, "d", false, 0), member(9, "c", false, 0)), nil, 0, "giving the vote to c"},
-		"then the lost one is removed":                                                   {15, append(three[:3:3], member(9, "c", true, 0)), nil, 0, "removing c"},
-		"a learner that lost its data directory is removed":                              {15, append(three[:3:3], member(4, "d", false, 0)), []*replicatorpb.Member{spare(9, "d")}, 0, "removing learner d"},
-		"without a maximum of voters it is added under its new id first":                 {0, three, []*replicatorpb.Member{spare(9, "c")}, 0, "adding c as a learner in place of c"},
-		"a silent member is removed when a majority of the others responds":              {15, silent, nil, 0, "removing c"},
-		"all members respond and there is no maximum of voters":                          {0, three[:3], nil, 0, ""},
-		"no member is removed while a majority is silent":                                {15, []replicator.MemberStatus{member(1, "a", true, 0), member(2, "b", true, time.Minute), member(3, "c", true, time.Minute)}, nil, 0, ""},
-		"a silent learner is removed":                                                    {15, append(three[:3:3], member(4, "d", false, time.Minute)), nil, 0, "removing learner d"},
-		"a voter that was away when its successor got a vote is removed":                 {15, succeeded, nil, 12, "removing c"},
-		"without a maximum of voters as well":                                            {0, succeeded, nil, 12, "removing c"},
-		"the one that has been away longest is removed":                                  {15, twoAway, nil, 12, "removing c"},
-		"a voter that restarts after the last change of voters isn't":                    {15, succeeded, nil, 8, ""},
-		"a voter that is away briefly isn't":                                             {15, briefly, nil, 12, ""},
-		"a voter that is away isn't removed from an odd number of voters":                {15, succeeded[:3], nil, 12, ""},
+		"all members respond and no spare exists":                                         {15, three, nil, 0, "", 0},
+		"a spare is added below the maximum of voters":                                    {15, three, []*replicatorpb.Member{spare(4, "d")}, 0, "adding d as a learner", 0},
+		"a spare isn't added without a maximum of voters":                                 {0, three, []*replicatorpb.Member{spare(4, "d")}, 0, "", 0},
+		"a spare isn't added above the maximum of voters":                                 {3, three, []*replicatorpb.Member{spare(4, "d")}, 0, "", 0},
+		"two learners that have caught up get votes":                                      {15, append(three[:3:3], member(4, "d", false, 0), member(5, "e", false, 0)), nil, 0, "giving the vote to d", 0},
+		"the second of them as well":                                                      {15, append(three[:3:3], member(4, "d", true, 0), member(5, "e", false, 0)), nil, 0, "giving the vote to e", 0},
+		"one learner stands by":                                                           {15, append(three[:3:3], member(4, "d", false, 0)), nil, 0, "", 0},
+		"two learners stand by near the maximum of voters":                                {4, append(three[:3:3], member(4, "d", false, 0), member(5, "e", false, 0)), nil, 0, "", 0},
+		"the number of voters doesn't grow while one is late":                             {15, append(late[:3:3], member(4, "d", false, 0), member(5, "e", false, 0)), nil, 0, "", 0},
+		"a learner replaces an unresponsive voter":                                        {15, append(awayThree[:3:3], current(4, "d"), learner(5, "e")), nil, 12, "removing c", 0},
+		"it gets its vote first if the number of voters is odd":                           {15, append(awayThree[:3:3], learner(4, "d"), learner(5, "e")), nil, 8, "giving the vote to d", 0},
+		"a leaving voter is replaced by a learner":                                        {15, append(three[:2:2], member(leavingID, "c", true, 0), member(4, "d", false, 0)), nil, 0, "giving the vote to d", 0},
+		"a leaving voter with a successor is removed":                                     {15, append(three[:2:2], member(leavingID, "c", true, 0), member(4, "d", true, 0)), nil, 0, "removing c", 0},
+		"a leaving voter isn't removed without a successor":                               {15, append(three[:2:2], member(leavingID, "c", true, 0)), nil, 0, "", 0},
+		"a leaving voter keeps its vote while another is late, which is replaced":         {15, []replicator.MemberStatus{current(1, "a"), away(2, "b", replaceAfter/5), current(leavingID, "c"), learner(4, "d")}, nil, 8, "giving the vote to d", 0},
+		"then the late one is removed, not the leaving one":                               {15, []replicator.MemberStatus{current(1, "a"), away(2, "b", replaceAfter/5), current(leavingID, "c"), current(4, "d")}, nil, 8, "removing b", 0},
+		"a leaving voter keeps its vote while another is late and no learner is ready":    {15, []replicator.MemberStatus{current(1, "a"), away(2, "b", replaceAfter/5), current(leavingID, "c")}, nil, 8, "", 0},
+		"a leaving voter keeps its vote until the others have responded after it said so": {15, []replicator.MemberStatus{current(1, "a"), away(2, "b", 250*time.Millisecond), current(leavingID, "c"), learner(4, "d")}, nil, 8, "", 250 * time.Millisecond},
+		"it hands its vote over once they have":                                           {15, []replicator.MemberStatus{current(1, "a"), away(2, "b", 100*time.Millisecond), current(leavingID, "c"), learner(4, "d")}, nil, 8, "giving the vote to d", 250 * time.Millisecond},
+		"a late voter that has responded since isn't replaced":                            {15, []replicator.MemberStatus{current(1, "a"), away(2, "b", time.Second), current(leavingID, "c"), learner(4, "d")}, nil, 8, "", 2 * time.Second},
+		"a late voter isn't replaced at once when the leaving one is gone":                {15, []replicator.MemberStatus{current(1, "a"), away(2, "b", replaceAfter/5), away(leavingID, "c", replaceAfter/10), learner(4, "d")}, nil, 8, "", 0},
+		"a leaving voter keeps its vote while a new leader has heard nothing of another":  {15, []replicator.MemberStatus{current(1, "a"), unheard(2, "b"), current(leavingID, "c"), learner(4, "d")}, nil, 8, "", 0},
+		"a leaving learner is removed":                                                    {15, append(three[:3:3], member(leavingID, "d", false, 0)), nil, 0, "removing learner d", 0},
+		"two of five voters that are lost are not removed":                                {15, append(three[:2:2], away(3, "c", time.Minute), away(4, "d", time.Minute), current(5, "e")), nil, 12, "", 0},
+		"a member that lost its data directory is added under its new id":                 {15, three, []*replicatorpb.Member{spare(9, "c")}, 0, "adding c as a learner in place of c", 0},
+		"it gets its vote before the lost one is removed":                                 {15, append(three[:3:3], member(9, "c", false, 0)), nil, 0, "giving the vote to c", 0},
+		"its vote counts before that of a learner at another address":                     {15, append(three[:3:3], member(8, "d", false, 0), member(9, "c", false, 0)), nil, 0, "giving the vote to c", 0},
+		"then the lost one is removed":                                                    {15, append(three[:3:3], member(9, "c", true, 0)), nil, 0, "removing c", 0},
+		"a learner that lost its data directory is removed":                               {15, append(three[:3:3], member(4, "d", false, 0)), []*replicatorpb.Member{spare(9, "d")}, 0, "removing learner d", 0},
+		"without a maximum of voters it is added under its new id first":                  {0, three, []*replicatorpb.Member{spare(9, "c")}, 0, "adding c as a learner in place of c", 0},
+		"a silent member is removed when a majority of the others responds":               {15, silent, nil, 0, "removing c", 0},
+		"all members respond and there is no maximum of voters":                           {0, three[:3], nil, 0, "", 0},
+		"no member is removed while a majority is silent":                                 {15, []replicator.MemberStatus{member(1, "a", true, 0), member(2, "b", true, time.Minute), member(3, "c", true, time.Minute)}, nil, 0, "", 0},
+		"a silent learner is removed":                                                     {15, append(three[:3:3], member(4, "d", false, time.Minute)), nil, 0, "removing learner d", 0},
+		"a voter that was away when its successor got a vote is removed":                  {15, succeeded, nil, 12, "removing c", 0},
+		"without a maximum of voters as well":                                             {0, succeeded, nil, 12, "removing c", 0},
+		"the one that has been away longest is removed":                                   {15, twoAway, nil, 12, "removing c", 0},
+		"a voter that restarts after the last change of voters isn't":                     {15, succeeded, nil, 8, "", 0},
+		"a voter that is away briefly isn't":                                              {15, briefly, nil, 12, "", 0},
+		"a voter that is away isn't removed from an odd number of voters":                 {15, succeeded[:3], nil, 12, "", 0},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			noop := func(context.Context, uint64) error { return nil }
 			s := &Steward{now: time.Now, cfg: Config{
 				Spares: func() []*replicatorpb.Member { return tt.spares }, ReplaceAfter: replaceAfter, MaxVoters: tt.voters,
-				Leaving:    func(id uint64) bool { return id == leavingID },
+				Leaving:    func(id uint64) (time.Duration, bool) { return cmp.Or(tt.announced, time.Second), id == leavingID },
 				AddLearner: func(context.Context, *replicatorpb.Member) error { return nil }, Promote: noop, Remove: noop,
 			}}
 			got := ""
--- a/peridot-control/supervisor/supervisor.go
+++ b/peridot-control/supervisor/supervisor.go
@@ -207,7 +207,7 @@
 	s.steward = steward.New(steward.Config{
 		Status:             s.replicator.Status,
 		Spares:             s.replicator.Spares,
-		Leaving:            s.replicator.IsLeaving,
+		Leaving:            s.replicator.Leaving,
 		AddLearner:         s.replicator.AddLearner,
 		Promote:            s.replicator.Promote,
 		Remove:             s.replicator.Remove,
