sender: a response that a reset cuts during an upload is not complete

Seen by callers: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection.

Cause: the kernel tells of a reset once, to the read or the write that is next. The body of the request is written in the background while the response is read; the write took the error, and the read found the end of the connection, by which such a body ends.

Evidence: at the sender alone, with a reset while 4 MiB are written, the body is read to its end without an error.

Change: at such an end the result of the write is asked for, and a write under way is ended for it. Any error but EPIPE, by which the server had closed the connection before the reset, makes the response incomplete. net/http hides the cause of an error in a request's body, so the connection keeps its own; a connection that was lost while a body of 4 to 8 KiB was written was not recognised as lost either.

--- a/peridot-entry/sender/conn.go
+++ b/peridot-entry/sender/conn.go
@@ -31,6 +31,8 @@
 	// wrote is set before the first byte of the current call may be sent, received once the first byte of its response has been read.
 	wrote    atomic.Bool
 	received bool
+	// writeErr is the error of the current call's write.
+	writeErr error
 	// broken is set when the connection must not be reused.
 	broken bool
 	// headerBytesLeft is how many more bytes of a header may be read; negative while no header is read.
@@ -46,7 +48,11 @@
 // Write implements net.Conn and records that bytes may have been sent.
 func (c *conn) Write(p []byte) (int, error) {
 	c.wrote.Store(true)
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
 }
 
 // Read implements net.Conn, records that bytes were received and limits the size of headers.
@@ -73,7 +79,7 @@
 
 func (c *conn) beginExchange() {
 	c.exchanges++
-	c.received = false
+	c.received, c.writeErr = false, nil
 	c.wrote.Store(false)
 }
 
--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -7,8 +7,10 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,8 +38,9 @@
 	marker, early bool
 	// doubts holds the doubtful responses among those dropped.
 	doubts []unnamed
-	// writeResult receives the error of a write that runs while the response is read; nil when the request is written first.
+	// writeResult receives the error of a write that runs while the response is read; nil when the request is written first, with writeErr.
 	writeResult chan error
+	writeErr    error
 }
 
 // write sends the request. A body over maxInlineBody is written in the background, while the response is awaited.
@@ -45,19 +48,38 @@
 	start := time.Now()
 	defer func() { e.timing.Send = time.Since(start) }()
 	send := func() error {
-		if err := hr.Write(e.conn.writer); err != nil {
-			return err
+		err := hr.Write(e.conn.writer)
+		if err == nil {
+			err = e.conn.writer.Flush()
 		}
-		return e.conn.writer.Flush()
+		if e.conn.writeErr != nil {
+			// net/http hides the cause of an error in the body.
+			return e.conn.writeErr
+		}
+		return err
 	}
 	if size <= maxInlineBody {
-		return send()
+		e.writeErr = send()
+		return e.writeErr
 	}
 	e.writeResult = make(chan error, 1)
 	go func() { e.writeResult <- send() }()
 	return nil
 }
 
+// wasReset reports whether the connection was reset while the request was written. The kernel tells of a reset once: if the write has met it, a
+// read finds the end of the connection, as if the server had closed it. A write under way is ended, as it may be about to meet it. Other
+// than a reset, EPIPE means that the server had closed the connection before, so that all of its response has come.
+func (e *exchange) wasReset() bool {
+	err := e.writeErr
+	if e.writeResult != nil {
+		_ = e.conn.SetWriteDeadline(time.Unix(1, 0))
+		err = <-e.writeResult
+		e.writeResult <- err
+	}
+	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // parseKeepAlive returns how long an idle connection is to be kept according to a response's Keep-Alive header, which states when the
 // server closes it.
 func parseKeepAlive(h http.Header) (maxIdle time.Duration, ok bool) {
@@ -129,7 +151,7 @@
 	if closeDelimited || e.invitesDoubt() || res.Close || !res.ProtoAtLeast(1, 1) {
 		e.conn.broken = true
 	}
-	b := &body{exchange: e, ctx: ctx, res: res}
+	b := &body{exchange: e, ctx: ctx, res: res, closeDelimited: closeDelimited}
 	return &Response{
 		Status:      res.StatusCode,
 		Header:      res.Header,
@@ -205,6 +227,8 @@
 	ctx      context.Context
 	res      *http.Response
 	err      error
+	// closeDelimited is set if the body ends with the connection.
+	closeDelimited bool
 }
 
 // Read implements io.Reader; an error other than io.EOF is an *Error.
@@ -213,6 +237,9 @@
 		return 0, b.err
 	}
 	n, err := b.res.Body.Read(p)
+	if err == io.EOF && b.closeDelimited && b.exchange.wasReset() {
+		err = errReset
+	}
 	if err == io.EOF {
 		b.err = err
 		b.exchange.finish()
--- a/peridot-entry/sender/sender.go
+++ b/peridot-entry/sender/sender.go
@@ -235,6 +235,9 @@
 // errCloseDelimited is the error for a response whose body ends with the connection: a truncated one can't be told from a complete one.
 var errCloseDelimited = errors.New("the answer has neither a length nor chunks: whether it is whole can't be known")
 
+// errReset is the error for a response whose body ends with the connection, if the connection was reset while the request was written.
+var errReset = errors.WithMessage(syscall.ECONNRESET, "write the request")
+
 // errSwitching is the error for a 101 response, after which the connection doesn't speak HTTP.
 var errSwitching = errors.New("the backend server switched protocols without being asked")
 
