sender: a status below 100 is no response

Seen by callers: the users saw a response with the status 000 that reached a client, on another system of this kind.

Cause: http.ReadResponse accepts any three digits. A status below 100 was taken for an informational response, so that its body was read as the next response; one that begins with "HTTP/1.1 200" became the caller's.

Change: such a response is an error, wherever the sender reads one: attempts, probes, markers and responses that are dropped.

--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -108,7 +108,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if res.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case res.StatusCode < http.StatusContinue:
+			return nil, errors.Errorf("the answer's status is %03d", res.StatusCode)
+		case res.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errSwitching
 		}
 		if res.StatusCode >= http.StatusOK {
