sender: a field name with a blank makes a response invalid

Cause: net/textproto accepts blanks in names (go.dev/issue/34540). "Content-Length : 5" and "Transfer-Encoding : chunked" then count for nothing, and the body ends with the connection.

Change: a name that is no token, by golang.org/x/net/http/httpguts, is an error, in heads of final, informational and dropped responses and in trailers.

--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 
 	"peridotswitch.example/peridot-entry/registrar"
 )
@@ -108,6 +109,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err = checkNames(res.Header); err != nil {
+			return nil, err
+		}
 		switch {
 		case res.StatusCode < http.StatusContinue:
 			return nil, errors.Errorf("the answer's status is %03d", res.StatusCode)
@@ -122,6 +126,16 @@
 	return nil, errors.Errorf("more than %d informational answers", maxInformational)
 }
 
+// checkNames returns an error if the name of a field isn't a token: net/textproto accepts blanks in it.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Errorf("the answer has a field with the invalid name %q", name)
+		}
+	}
+	return nil
+}
+
 // Time limits for the response to a request that couldn't be written completely.
 const (
 	earlyHeaderTimeout = 50 * time.Millisecond
@@ -243,6 +257,9 @@
 	if err == io.EOF && b.closeDelimited && b.exchange.wasReset() {
 		err = errReset
 	}
+	if err == io.EOF {
+		err = cmp.Or(checkNames(b.res.Trailer), err)
+	}
 	if err == io.EOF {
 		b.err = err
 		b.exchange.finish()
--- a/peridot-entry/sender/head_test.go
+++ b/peridot-entry/sender/head_test.go
@@ -55,3 +55,32 @@
 		t.Run(name, func(t *testing.T) { checkHead(t, tt.head, tt.ok) })
 	}
 }
+
+// Guards against a response in whose head or trailer the name of a field isn't one: a caller would get that line, or a body whose length the line
+// was to give.
+func TestFieldNames(t *testing.T) {
+	tests := map[string]struct {
+		head string
+		ok   bool
+	}{
+		"sound":                           {"HTTP/1.1 200 OK\r\nX-Name: a b\r\nx_under.score~: 1\r\nContent-Length: 4\r\n\r\n", true},
+		"value over two lines":            {"HTTP/1.1 200 OK\r\nX-Name: a\r\n b\r\nContent-Length: 4\r\n\r\n", true},
+		"blank before the colon":          {"HTTP/1.1 200 OK\r\nX-Name : a\r\nContent-Length: 4\r\n\r\n", false},
+		"blank in a name":                 {"HTTP/1.1 200 OK\r\nX Name: a\r\nContent-Length: 4\r\n\r\n", false},
+		"blank in the name of the length": {"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\n", false},
+		"blank in the transfer encoding":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n", false},
+		"blank before the first name":     {"HTTP/1.1 200 OK\r\n X-Name: a\r\nContent-Length: 4\r\n\r\n", false},
+		"tab in a name":                   {"HTTP/1.1 200 OK\r\nX\tName: a\r\nContent-Length: 4\r\n\r\n", false},
+		"control byte in a name":          {"HTTP/1.1 200 OK\r\nX-N\x01ame: a\r\nContent-Length: 4\r\n\r\n", false},
+		"NUL in a name":                   {"HTTP/1.1 200 OK\r\nX-Name\x00: a\r\nContent-Length: 4\r\n\r\n", false},
+		"CR in a name":                    {"HTTP/1.1 200 OK\r\nX-N\rame: a\r\nContent-Length: 4\r\n\r\n", false},
+		"DEL in a name":                   {"HTTP/1.1 200 OK\r\nX-N\x7fame: a\r\nContent-Length: 4\r\n\r\n", false},
+		"empty name":                      {"HTTP/1.1 200 OK\r\n: a\r\nContent-Length: 4\r\n\r\n", false},
+		"blank in an informational one":   {"HTTP/1.1 103 Early Hints\r\nLi nk: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", false},
+		"blank in a name of the trailer":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Name: a\r\n\r\n", false},
+		"sound trailer":                   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Name: a\r\n\r\n", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { checkHead(t, tt.head, tt.ok) })
+	}
+}
--- a/prover/platform_server_test.go
+++ b/prover/platform_server_test.go
@@ -55,6 +55,8 @@
 	crashPath string
 	crash     func()
 	stop      func()
+	// respond responds to a call in place of the server, or returns false; nil for never. It is set before the server starts.
+	respond func(w http.ResponseWriter, req *http.Request) bool
 }
 
 var lastServer atomic.Int32
@@ -199,6 +201,9 @@
 	if s.slow.Load() {
 		time.Sleep(400 * time.Millisecond)
 	}
+	if s.respond != nil && s.respond(w, req) {
+		return
+	}
 	if s.dropResponse.Load() {
 		panic(http.ErrAbortHandler)
 	}
