--- a/peridot-control/recorder/load.go
+++ b/peridot-control/recorder/load.go
@@ -9,7 +9,7 @@
 )
 
 func (r *Recorder) load() (st *State, err error) {
-	for _, name := range []string{logName, snapshotName} {
+	for _, name := range []string{logName, snapshotName, initialName} {
 		if err = os.Remove(r.path(name + newSuffix)); err != nil && !os.IsNotExist(err) {
 			return nil, err
 		}
@@ -39,6 +39,13 @@
 		}
 	}
 	r.id = st.ID
+	id, initial, err := r.loadInitial()
+	if err != nil {
+		return nil, err
+	}
+	if id == st.ID {
+		st.Initial = initial
+	}
 	if r.log, err = os.OpenFile(r.path(logName), os.O_RDWR, fileMode); err != nil {
 		return nil, err
 	}
@@ -52,11 +59,58 @@
 	return st, r.cfg.Sync(r.log)
 }
 
-func (r *Recorder) create() (*State, error) {
-	if _, err := os.Stat(r.path(snapshotName)); err == nil {
+func (r *Recorder) create() (st *State, err error) {
+	if _, err = os.Stat(r.path(snapshotName)); err == nil {
 		return nil, &CorruptError{logName, 0, "the file is missing although there is a snapshot"}
 	}
-	return r.Reset()
+	id, initial, err := r.loadInitial()
+	if err != nil {
+		return nil, err
+	}
+	if id == 0 && len(r.cfg.Initial) > 0 {
+		// It comes before the log: a process that stops in between is still one that takes part in the bootstrap.
+		id, initial = r.cfg.NewID(), r.cfg.Initial
+		if err = r.saveInitial(id, initial); err != nil {
+			return nil, err
+		}
+	}
+	if id == 0 {
+		return r.Reset()
+	}
+	r.id = id
+	if st, err = r.clear(); err == nil {
+		st.Initial = initial
+	}
+	return st, err
+}
+
+// loadInitial returns the members that bootstrap a new cluster and the identity of the directory that belongs to them; 0 if there are none.
+func (r *Recorder) loadInitial() (id uint64, initial []*replicatorpb.Member, err error) {
+	buf, err := os.ReadFile(r.path(initialName))
+	if os.IsNotExist(err) {
+		return 0, nil, nil
+	}
+	if err != nil {
+		return 0, nil, err
+	}
+	n, err := decodeRecords(initialName, buf, func(rec *replicatorpb.Record) error {
+		id, initial = max(id, rec.GetIdentity()), append(initial, rec.GetInitial().GetMembers()...)
+		return nil
+	})
+	if err == nil && (n != len(buf) || id == 0 || len(initial) == 0) {
+		err = &CorruptError{initialName, n, "the file is truncated"}
+	}
+	return id, initial, err
+}
+
+func (r *Recorder) saveInitial(id uint64, initial []*replicatorpb.Member) error {
+	buf := appendRecord(nil, &replicatorpb.Record{Record: &replicatorpb.Record_Identity{Identity: id}})
+	buf = appendRecord(buf, &replicatorpb.Record{Record: &replicatorpb.Record_Initial{Initial: &replicatorpb.Membership{Members: initial}}})
+	f, err := r.replaceFile(initialName, buf)
+	if err != nil {
+		return err
+	}
+	return f.Close()
 }
 
 // applyRecord applies one record of the log file to st.
--- a/peridot-control/recorder/recorder.go
+++ b/peridot-control/recorder/recorder.go
@@ -16,6 +16,8 @@
 	Dir string
 	// NewID generates the identity of a directory that has none.
 	NewID func() uint64
+	// Initial are the members that bootstrap a new cluster, if a directory that this process creates takes part in that; nil otherwise.
+	Initial []*replicatorpb.Member
 	// Sync makes writes to a file or directory durable; (*os.File).Sync when nil.
 	Sync func(*os.File) error
 }
@@ -28,6 +30,8 @@
 	// Base is the position just before the first of Entries.
 	Base    *replicatorpb.Position
 	Entries []*replicatorpb.Entry
+	// Initial is Config.Initial of the process that created the directory, while that still has its first identity; nil otherwise.
+	Initial []*replicatorpb.Member
 	// TornBytes is the size of a torn last write, which was never acknowledged and has been truncated.
 	TornBytes int
 }
@@ -36,6 +40,7 @@
 const (
 	logName      = "log"
 	snapshotName = "snapshot"
+	initialName  = "initial"
 	lockName     = "lock"
 	newSuffix    = ".new"
 )
@@ -125,6 +130,11 @@
 func (r *Recorder) Reset() (st *State, err error) {
 	defer func() { err = errors.WithMessage(err, "reset the data directory") }()
 	r.id = r.cfg.NewID()
+	return r.clear()
+}
+
+// clear discards all state under the identity that the directory has now.
+func (r *Recorder) clear() (st *State, err error) {
 	st = &State{ID: r.id, Vote: &replicatorpb.Vote{}, Base: &replicatorpb.Position{}}
 	// The log is replaced before the snapshot is removed: after a stop in between, Open drops a snapshot beside a log with a new
 	// identity.
--- a/peridot-control/recorder/recorder_test.go
+++ b/peridot-control/recorder/recorder_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -189,3 +190,46 @@
 		}
 	})
 }
+
+// Guards against a process that forgets that it takes part in the bootstrap of the cluster when its first start is interrupted, at any step, and
+// against one that takes part although it has lost its state or was removed from the cluster.
+func TestInitialMembersAreKeptWithTheFirstIdentity(t *testing.T) {
+	initial := []*replicatorpb.Member{{Address: "a"}, {Address: "b"}}
+	same := func(list []*replicatorpb.Member) bool {
+		return len(list) == 2 && list[0].Address == "a" && list[1].Address == "b"
+	}
+	// The syncs of a first start are those of the parent directory, of a file and the directory for each of two files, and of the directory.
+	for stopAt := range 7 {
+		t.Run(fmt.Sprint("stopped at sync ", stopAt), func(t *testing.T) {
+			g := NewWithT(t)
+			dir, syncs, ids := filepath.Join(t.TempDir(), "data"), 0, uint64(20)
+			newID := func() uint64 { ids++; return ids }
+			r, _, err := Open(Config{Dir: dir, NewID: newID, Initial: initial, Sync: func(f *os.File) error {
+				if syncs++; syncs > stopAt {
+					return errors.New("stopped")
+				}
+				return f.Sync()
+			}})
+			g.Expect(err == nil).To(Equal(stopAt == 6))
+			if err == nil {
+				g.Expect(r.Close()).To(Succeed())
+			}
+			for range 2 {
+				r, st, err := Open(Config{Dir: dir, NewID: newID})
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(same(st.Initial)).To(Equal(stopAt >= 2), "the list that was written before the stop is kept")
+				g.Expect(r.Close()).To(Succeed())
+			}
+			r, _, err = Open(Config{Dir: dir, NewID: newID})
+			g.Expect(err).NotTo(HaveOccurred())
+			st, err := r.Reset()
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(st.Initial).To(BeEmpty())
+			g.Expect(r.Close()).To(Succeed())
+			r, st, err = Open(Config{Dir: dir, NewID: newID, Initial: initial})
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(st.Initial).To(BeEmpty())
+			g.Expect(r.Close()).To(Succeed())
+		})
+	}
+}
--- a/peridot-control/supervisor/supervisor.go
+++ b/peridot-control/supervisor/supervisor.go
@@ -43,6 +43,9 @@
 	InitialMembers []*replicatorpb.Member
 	// Spare keeps this process from bootstrapping a cluster; it waits to be added to an existing one.
 	Spare bool
+	// ResumeBootstrap makes a member whose data directory was created without Spare go on without it, with the InitialMembers of then, until it is in a
+	// cluster: the first start may have been interrupted.
+	ResumeBootstrap bool
 	// BootstrapMajorityAfter is how long the first initial member waits for the others before a majority is enough to bootstrap a cluster; 0
 	// if all must reply. It requires that a member that lost its data directory is started with Spare.
 	BootstrapMajorityAfter time.Duration
@@ -120,7 +123,11 @@
 func (s *Supervisor) start() (err error) {
 	cfg := &s.cfg
 	var state *recorder.State
-	if s.recorder, state, err = recorder.Open(recorder.Config{Dir: cfg.DataDir, NewID: newID, Sync: cfg.Sync}); err != nil {
+	recorderConfig := recorder.Config{Dir: cfg.DataDir, NewID: newID, Sync: cfg.Sync}
+	if !cfg.Spare {
+		recorderConfig.Initial = s.initialMembers()
+	}
+	if s.recorder, state, err = recorder.Open(recorderConfig); err != nil {
 		return err
 	}
 	if state.TornBytes > 0 {
@@ -172,20 +179,35 @@
 	}
 }
 
+// member returns this member as the replicator describes it.
+func (s *Supervisor) member() *replicatorpb.Member {
+	return &replicatorpb.Member{InstanceId: s.cfg.InstanceID, Address: s.cfg.Advertise, AvailabilityZone: s.cfg.AvailabilityZone}
+}
+
+// initialMembers returns the members that bootstrap a new cluster.
+func (s *Supervisor) initialMembers() []*replicatorpb.Member {
+	if len(s.cfg.InitialMembers) == 0 && !s.cfg.Spare {
+		return []*replicatorpb.Member{s.member()}
+	}
+	return s.cfg.InitialMembers
+}
+
 func (s *Supervisor) startReplicator(state *recorder.State) (err error) {
 	cfg := &s.cfg
-	self := &replicatorpb.Member{InstanceId: cfg.InstanceID, Address: cfg.Advertise, AvailabilityZone: cfg.AvailabilityZone}
-	initialMembers := cfg.InitialMembers
-	if len(initialMembers) == 0 && !cfg.Spare {
-		initialMembers = []*replicatorpb.Member{self}
+	spare, initialMembers := cfg.Spare, s.initialMembers()
+	if spare && cfg.ResumeBootstrap && len(state.Initial) > 0 {
+		spare, initialMembers = false, state.Initial
+		if state.Snapshot == nil {
+			cfg.Log.Info().Int("initial-members", len(initialMembers)).Msg("resuming the first start")
+		}
 	}
 	s.replicator, err = replicator.New(replicator.Config{
 		Recorder:               s.recorder,
 		State:                  state,
-		Self:                   self,
+		Self:                   s.member(),
 		InitialMembers:         initialMembers,
 		JoinAddresses:          cfg.JoinAddresses,
-		Spare:                  cfg.Spare,
+		Spare:                  spare,
 		BootstrapMajorityAfter: cfg.BootstrapMajorityAfter,
 		DialAddress:            s.dialAddress,
 		Tick:                   min(maxTick, cfg.Heartbeat/ticksPerHeartbeat),
