control: members that stop together leave the leadership to one that stays

Found by the model of the steward when members are replaced at the same moment; not seen with processes. A leader that stops hands the leadership to the most recently responsive voter, which may be stopping too. That one then ended as the leader, with its vote, and with two of three members replaced so, the loss of power of a third left "2 of 5 voters".

Change: the transfer prefers voters that have not announced their stop, and a member that becomes the leader while it waits for its vote to be taken hands the leadership on if there is one.

TestLeadershipGoesToAMemberThatStays covers the choice; the model now assumes it and finds no fault.

--- a/peridot-control/replicator/core_test.go
+++ b/peridot-control/replicator/core_test.go
@@ -205,7 +205,7 @@
 	case 5, 6:
 		c.isolate(id, c.ids[c.rand.IntN(len(c.ids))])
 	case 7:
-		n.core.transferLeadership()
+		n.core.transferLeadership(func(id uint64) bool { return id == c.ids[0] })
 	case 8, 9:
 		_, _ = n.core.proposeMembership(func(m []*replicatorpb.Member) ([]*replicatorpb.Member, error) { return c.editMembers(m) })
 	default:
--- a/peridot-control/replicator/election.go
+++ b/peridot-control/replicator/election.go
@@ -97,15 +97,20 @@
 }
 
 // transferLeadership transfers leadership to the most recently responsive voter whose log is complete; it does nothing when there is
-// none.
-func (c *core) transferLeadership() {
+// none. One that isLeaving reports is chosen only if there is no other.
+func (c *core) transferLeadership(isLeaving func(id uint64) bool) {
 	if c.role != leader || c.transferee != 0 {
 		return
 	}
 	var best *replicatorpb.Member
+	isBetter := func(m *replicatorpb.Member) bool {
+		if best == nil || isLeaving(m.Id) != isLeaving(best.Id) {
+			return best == nil || isLeaving(best.Id)
+		}
+		return c.progress[m.Id].ackedTick > c.progress[best.Id].ackedTick
+	}
 	for _, m := range c.log.membership().Members {
-		if p := c.progress[m.Id]; m.Voter && m.Id != c.id && p.match == c.log.lastIndex() &&
-			(best == nil || p.ackedTick > c.progress[best.Id].ackedTick) {
+		if m.Voter && m.Id != c.id && c.progress[m.Id].match == c.log.lastIndex() && isBetter(m) {
 			best = m
 		}
 	}
--- a/peridot-control/replicator/leave.go
+++ b/peridot-control/replicator/leave.go
@@ -28,9 +28,16 @@
 	for {
 		st := r.Status()
 		isVoter := slices.ContainsFunc(st.Members, func(m MemberStatus) bool { return m.Member.Voter && m.Member.Id == st.Self.Id })
-		if !isVoter || st.IsLeader || !handsOver(st) {
+		if !isVoter || !handsOver(st) || st.IsLeader && !r.hasLastingVoter(st) {
 			return
 		}
+		if st.IsLeader {
+			if err := r.TransferLeadership(ctx); err != nil {
+				r.cfg.Log.Warn().Err(err).Msg("stopping without a successor")
+				return
+			}
+			continue
+		}
 		if st.Leader != nil && !r.announceLeaving(ctx, st) {
 			return
 		}
@@ -43,6 +50,13 @@
 	}
 }
 
+// hasLastingVoter reports whether a voter beside this member has not announced that it stops.
+func (r *Replicator) hasLastingVoter(st *Status) bool {
+	return slices.ContainsFunc(st.Members, func(m MemberStatus) bool {
+		return m.Member.Voter && m.Member.Id != st.Self.Id && !r.isLeaving(m.Member.Id)
+	})
+}
+
 // announceLeaving tells the leader that this member stops and reports whether the member still has its vote.
 func (r *Replicator) announceLeaving(ctx context.Context, st *Status) bool {
 	client, closeIdle := newClient(r.cfg.DialAddress(st.Leader), introduceTimeout)
@@ -66,6 +80,11 @@
 	return !req.Formed && req.Member.Voter
 }
 
+func (r *Replicator) isLeaving(id uint64) bool {
+	_, ok := r.Leaving(id)
+	return ok
+}
+
 // Leaving returns how long ago a member first announced that it stops. ok is false if it has not announced that recently.
 func (r *Replicator) Leaving(id uint64) (ago time.Duration, ok bool) {
 	r.discovery.mu.Lock()
--- a/peridot-control/replicator/replicator.go
+++ b/peridot-control/replicator/replicator.go
@@ -377,7 +377,7 @@
 		if err = r.runOnLoop(ctx, func() {
 			isLeader, onlyMember = r.core.role == leader, len(r.core.log.membership().Members) < 2
 			if isLeader && !onlyMember {
-				r.core.transferLeadership()
+				r.core.transferLeadership(r.isLeaving)
 			}
 		}); err != nil || !isLeader || onlyMember {
 			return err
