control: a member refuses a change of members whose sender has given up

It now looks at the connection first. Requests have no version of the membership, so that one which is held up later can still come late.

TestMemberChangeOfBeforeAPauseIsRefused fails before ("error is <nil> after 1 changes").

--- a/peridot-control/deliverer/evacuation_test.go
+++ b/peridot-control/deliverer/evacuation_test.go
@@ -264,6 +264,31 @@
 	}
 }
 
+// Guards against a member that was paused and, once it goes on, removes a control member by a request whose sender has given up.
+func TestMemberChangeOfBeforeAPauseIsRefused(t *testing.T) {
+	f := newEvacuationFleet(t, 1)
+	d, changes := f.members[0], 0
+	d.cfg.ChangeMember = func(context.Context, *MemberChange) error {
+		changes++
+		return nil
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sendAndLeave(t, l, false)
+	errs := make(chan error, 1)
+	srv := server.New(server.Config{Listener: l, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), requestHeadersKey{}, requestHeaders{authorization: "Bearer secret"})
+		_, err := d.ChangeMember(ctx, &operatorpb.ChangeMemberRequest{Action: "remove", InstanceId: "core-1"})
+		errs <- err
+	})})
+	defer func() { _ = srv.Close(context.Background()) }()
+	if err = <-errs; err == nil || changes > 0 {
+		t.Errorf("error is %v after %d changes, want a refusal", err, changes)
+	}
+}
+
 // Guards against a command that is held up on its way to the leader until after the ack of the opposite one. The leader may not have noticed
 // that the sender has given up when it goes on with the command.
 func TestCommandHeldUpBetweenMembersIsRefused(t *testing.T) {
--- a/peridot-control/deliverer/operator.go
+++ b/peridot-control/deliverer/operator.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
+	"peridotswitch.example/common/admitter"
 	"peridotswitch.example/common/operatorpb"
 	"peridotswitch.example/peridot-control/arbiter"
 )
@@ -266,11 +267,15 @@
 	}, nil
 }
 
-// ChangeMember implements operatorpb.Operator.
+// ChangeMember implements operatorpb.Operator. A request that waited while this process was paused isn't carried out once its sender has given up:
+// the sender may have got its reply from another member, and have requested the opposite since.
 func (d *Deliverer) ChangeMember(ctx context.Context, req *operatorpb.ChangeMemberRequest) (*operatorpb.ChangeMemberReply, error) {
 	if err := d.authorize(ctx); err != nil {
 		return nil, err
 	}
+	if admitter.IsClientGone(ctx) {
+		return nil, twirpError(errSenderGone)
+	}
 	leader, ctx, err := d.remoteLeader(ctx)
 	if err != nil {
 		return nil, err
