--- a/peridot-control/steward/policy.go
+++ b/peridot-control/steward/policy.go
@@ -184,7 +184,7 @@
 // isAwaited reports whether a voter that doesn't respond keeps another one from stopping: it has to be replaced as long as the other one
 // runs, since both together may leave no majority to do so. A learner must be ready, or the number of voters above the target.
 func (s *Steward) isAwaited(st *replicator.Status, silent *replicator.MemberStatus) bool {
-	if s.isPrompt(silent) || silent.SinceLastAck <= s.cfg.ReplaceAfter/promptShare {
+	if silent.SinceLastAck <= s.cfg.ReplaceAfter/promptShare {
 		return false
 	}
 	if len(s.readyLearners(st)) == 0 && countVoters(st) <= s.target(st) {
