server: a refused caller that still sends its body gets the response

What callers saw: a reset connection in place of the 503 with Retry-After (or 408) with which an entry refuses a body that it doesn't read to its end.

Cause: net/http keeps a connection open for a moment after its response if the body wasn't read to its end, so that the client can read the response before the reset. It decides that by the type of the body in its own request, which the handlers that limit bodies replaced in place. Only a body over http.MaxBytesReader's limit was noticed in another way.

Change: both handlers set their body in a copy of the request.

--- a/common/admitter/serving.go
+++ b/common/admitter/serving.go
@@ -73,6 +73,8 @@
 		}
 		if r.ContentLength < 0 {
 			body := &chunkedBody{ReadCloser: r.Body}
+			// net/http must find its own body in its request: it decides by that how to close the connection.
+			r = r.WithContext(r.Context())
 			r.Body = body
 			defer func() {
 				if body.failed {
--- a/common/bounder/bounder.go
+++ b/common/bounder/bounder.go
@@ -88,6 +88,8 @@
 		if r.Body != nil && r.Body != http.NoBody {
 			m := b.Limit(r.Body)
 			defer m.Close()
+			// net/http must find its own body in its request: it decides by that how to close the connection.
+			r = r.WithContext(r.Context())
 			r.Body = m
 		}
 		h.ServeHTTP(w, r)
--- a/common/server/server_test.go
+++ b/common/server/server_test.go
@@ -18,10 +18,6 @@
 // start starts a server that responds with "ok" and takes over connections at /hijack, and returns its address.
 func start(t *testing.T, limits admitter.Limits) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
 	mux.HandleFunc("/hijack", func(w http.ResponseWriter, _ *http.Request) {
@@ -33,8 +29,18 @@
 		_, _ = io.WriteString(c, "taken over")
 		_ = c.Close()
 	})
+	return startHandler(t, mux, 0, limits)
+}
+
+// startHandler starts a server of h, with bodies of up to maxBodyBytes, and returns its address.
+func startHandler(t *testing.T, h http.Handler, maxBodyBytes int64, limits admitter.Limits) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	s := New(Config{
-		Listener: l, Handler: mux, ReadHeaderTimeout: time.Second, IdleTimeout: time.Second, MaxHeaderBytes: 64 << 10,
+		Listener: l, Handler: h, ReadHeaderTimeout: time.Second, IdleTimeout: time.Second, MaxHeaderBytes: 64 << 10, MaxBodyBytes: maxBodyBytes,
 		Admitter: admitter.New(admitter.Config{Limits: limits, Log: zerolog.Nop()}), Port: admitter.Callers,
 	})
 	t.Cleanup(func() {
@@ -112,3 +118,51 @@
 		t.Errorf("got %s", res.Status)
 	}
 }
+
+// Guards against a reset in place of the response to a caller that still sends a body which the handler doesn't read.
+func TestResponseBeforeEndOfBody(t *testing.T) {
+	const size = 8 << 20
+	chunk := "10000\r\n" + strings.Repeat("a", 1<<16) + "\r\n"
+	tests := map[string]struct {
+		limit      int64
+		head, part string
+	}{
+		"of known length":                   {0, "Content-Length: 8388608", strings.Repeat("a", 1<<16)},
+		"of known length, with a limit":     {size, "Content-Length: 8388608", strings.Repeat("a", 1<<16)},
+		"of unknown length":                 {0, "Transfer-Encoding: chunked", chunk},
+		"of unknown length, with a limit":   {size, "Transfer-Encoding: chunked", chunk},
+		"of known length, over the limit":   {1 << 20, "Content-Length: 8388608", strings.Repeat("a", 1<<16)},
+		"of unknown length, over the limit": {1 << 20, "Transfer-Encoding: chunked", chunk},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				// Over the limit, the handler reads as much as it gets.
+				if test.limit > 0 && test.limit < size {
+					_, _ = io.Copy(io.Discard, r.Body)
+				}
+				w.Header().Set("Connection", "close")
+				http.Error(w, "refused", http.StatusServiceUnavailable)
+			})
+			c, err := net.Dial("tcp", startHandler(t, h, test.limit, admitter.NewLimits(184<<20, 4100)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+			go func() {
+				_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\n"+test.head+"\r\n\r\n")
+				for n := 0; err == nil && n < size; n += 1 << 16 {
+					_, err = io.WriteString(c, test.part)
+				}
+			}()
+			text, err := io.ReadAll(c)
+			if !strings.HasPrefix(string(text), "HTTP/1.1 503 ") || !strings.HasSuffix(string(text), "refused\n") {
+				t.Errorf("response %q", text)
+			}
+			if err != nil {
+				t.Errorf("the response ends with %v", err)
+			}
+		})
+	}
+}
