entry: calls that still wait when the entry stops get a response

Cause: an attempt that begins early enough before the stop is only ended by the call's deadline. If that is after the stop, nothing responds: neither to a call at a silent server, nor to one that waits for a permit, for free slots or for a connection.

Evidence: the new spec with real processes, eight calls with a deadline of 15 s at servers that don't respond, then SIGTERM. Now eight 502.

Change: Dispatcher.Stop ends the calls without a response, 100 ms before the entry cuts them off: not-run ones with 503 (stopping), others with 502. Responses that have begun go on.

--- a/peridot-entry/dispatcher/dispatcher.go
+++ b/peridot-entry/dispatcher/dispatcher.go
@@ -54,6 +54,9 @@
 	advance float64
 	shares  *limiter.FairShares
 	returns *limiter.Returns
+	// stop is canceled by Stop.
+	stop     context.Context
+	endCalls context.CancelFunc
 	// draw returns a random number from 0 to 1.
 	draw     func() float64
 	mu       sync.RWMutex
@@ -81,19 +84,36 @@
 	if cfg.BudgetBurst == nil {
 		advance, cfg.BudgetBurst = defaultAdvance, func() float64 { return defaultBurst }
 	}
+	stop, endCalls := context.WithCancel(context.Background())
 	return &Dispatcher{
-		cfg: cfg, advance: advance, services: make(map[string]*serviceState),
+		cfg: cfg, advance: advance, services: make(map[string]*serviceState), stop: stop, endCalls: endCalls,
 		shares: limiter.NewFairShares(), returns: limiter.NewReturns(), draw: rand.Float64,
 	}
 }
 
+// Stop ends all calls that have no response yet, also those that begin later, so that they fail before the entry closes their connections.
+func (d *Dispatcher) Stop() { d.endCalls() }
+
+// endAtStop returns a context that Stop cancels until release is called.
+func (d *Dispatcher) endAtStop(parent context.Context) (ctx context.Context, release func() bool) {
+	ctx, cancel := context.WithCancelCause(parent)
+	return ctx, context.AfterFunc(d.stop, func() { cancel(errStopping) })
+}
+
 // Do runs one call and returns the response to it. The error is an *Error.
 func (d *Dispatcher) Do(ctx context.Context, c *Call) (*Response, error) {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	ctx, release := d.endAtStop(ctx)
+	defer release()
 	var res *Response
 	var err error
 	if c.Rule.Repeat == parser.AtMostOnce {
-		res, err = d.cfg.RunAtMostOnce(ctx, c, func(ctx context.Context) (*Response, error) { return d.run(ctx, c) })
+		res, err = d.cfg.RunAtMostOnce(ctx, c, func(ctx context.Context) (*Response, error) {
+			// The context of a claimed call doesn't end with the caller's.
+			ctx, release := d.endAtStop(ctx)
+			defer release()
+			return d.run(ctx, c)
+		})
 	} else {
 		res, err = d.run(ctx, c)
 	}
--- a/peridot-entry/dispatcher/execution.go
+++ b/peridot-entry/dispatcher/execution.go
@@ -75,8 +75,14 @@
 	}
 	lost := x.newLostTimer()
 	defer lost.Stop()
+	ended := ctx.Done()
 	for {
 		select {
+		case <-ended:
+			ended = nil
+			if isStopping(ctx, nil) {
+				x.cancelPending()
+			}
 		case <-hedge:
 			x.hedge(ctx)
 		case <-lost.C:
@@ -98,6 +104,13 @@
 	}
 }
 
+// cancelPending ends the attempts in flight, also those that outlast ctx.
+func (x *execution) cancelPending() {
+	for _, a := range x.pending {
+		a.cancel()
+	}
+}
+
 // startAttempt starts an attempt on a backend server that the call hasn't tried.
 func (x *execution) startAttempt(ctx context.Context, hedge bool) error {
 	begin := time.Now()
@@ -169,7 +182,7 @@
 
 // acquirePermit waits for a permit unless the execution has one.
 func (x *execution) acquirePermit(ctx context.Context) (err error) {
-	if x.wouldOutlastStop() {
+	if x.d.stop.Err() != nil || x.wouldOutlastStop() {
 		x.releasePermit(false)
 		return errStopping
 	}
--- a/peridot-entry/dispatcher/failure.go
+++ b/peridot-entry/dispatcher/failure.go
@@ -37,6 +37,11 @@
 	return isContained(err) || errors.Is(err, picker.ErrEvacuated) || errors.Is(err, errStopping) || errors.Is(err, errRevoked) || errors.As(err, &paused) || errors.Is(err, errShed) || errors.Is(err, picker.ErrNoServer) || errors.Is(err, picker.ErrFull) || errors.Is(err, picker.ErrRateLimited) || errors.As(err, &shed)
 }
 
+// isStopping reports whether a call failed because this entry stops.
+func isStopping(ctx context.Context, err error) bool {
+	return errors.Is(err, errStopping) || errors.Is(context.Cause(ctx), errStopping)
+}
+
 // isContained reports whether the request was refused because requests like it crash backend servers.
 func isContained(err error) bool {
 	var contained *quarantiner.Error
@@ -61,7 +66,7 @@
 	var shed *limiter.ShedError
 	var paused *picker.PausedError
 	switch {
-	case errors.Is(err, errStopping):
+	case isStopping(ctx, err):
 		return "stopping"
 	case errors.Is(err, errRevoked):
 		return "key-withdrawn"
@@ -105,10 +110,10 @@
 	switch {
 	case errors.As(err, &contained):
 		e.Status, e.RetryAfter = http.StatusUnprocessableEntity, contained.RetryAfter
+	case isStopping(ctx, err) && x.outcome == NotRun, errors.Is(err, errRevoked):
+		e.Status = http.StatusServiceUnavailable
 	case errors.As(err, &shed):
 		e.Status, e.RetryAfter = http.StatusServiceUnavailable, shed.RetryAfter
-	case errors.Is(err, errStopping), errors.Is(err, errRevoked):
-		e.Status = http.StatusServiceUnavailable
 	case errors.As(err, &paused):
 		e.Status, e.RetryAfter = http.StatusServiceUnavailable, paused.RetryAfter+x.retryAfterDelay()
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -86,6 +86,8 @@
 	stopping    atomic.Bool
 	refusing    atomic.Bool
 	stopTime    stopTime
+	// endCalls ends the calls that have no response yet.
+	endCalls func()
 	// followerSet is closed once the fields follower and stats are set.
 	followerSet chan struct{}
 	// synchronised is set once control has sent the table of backend servers. initialized is closed once routes are known as well.
@@ -145,6 +147,7 @@
 		ReplaceLost:     true,
 		OnLost:          s.newLostRecorder(),
 	})
+	s.endCalls = d.Stop
 	s.serve(callers, operators, d)
 	cfg.Log.Info().Str("listen", cfg.Listen).Str("operator-listen", cfg.OperatorListen).Msg("entry started")
 	return s, nil
@@ -303,7 +306,7 @@
 // them for half as long, and then waits for calls in flight until ctx ends.
 func (s *Routed) Close(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessage(err, "stop entry") }()
-	s.stopTime.set(ctx)
+	s.stopTime.set(ctx, s.endCalls)
 	s.stopping.Store(true)
 	s.follower.ReportNow()
 	s.cfg.Log.Info().Dur("lame-duck-ms", s.cfg.LameDuck).Msg("entry stopping")
--- a/peridot-entry/supervisor/stoptime.go
+++ b/peridot-entry/supervisor/stoptime.go
@@ -6,13 +6,17 @@
 	"time"
 )
 
+// responseTime is how long before its stop an entry ends the calls that have no response yet, so that their callers still get one.
+const responseTime = 100 * time.Millisecond
+
 // stopTime is the time at which a stopping entry cuts off the calls that are still in flight.
 type stopTime struct{ at atomic.Pointer[time.Time] }
 
-// set takes the time from the context of Close.
-func (s *stopTime) set(ctx context.Context) {
+// set takes the time from the context of Close. It calls endCalls once responseTime is left.
+func (s *stopTime) set(ctx context.Context, endCalls func()) {
 	if at, ok := ctx.Deadline(); ok {
 		s.at.Store(&at)
+		time.AfterFunc(time.Until(at)-responseTime, endCalls)
 	}
 }
 
--- a/peridot-entry/supervisor/supervisor.go
+++ b/peridot-entry/supervisor/supervisor.go
@@ -77,6 +77,8 @@
 	orderer     *orderer.Orderer
 	stopping    atomic.Bool
 	stopTime    stopTime
+	// endCalls ends the calls that have no response yet.
+	endCalls func()
 }
 
 // New starts an entry.
@@ -115,6 +117,7 @@
 		RunAtMostOnce: s.orderer.Do,
 		StopAt:        s.stopTime.get,
 	})
+	s.endCalls = d.Stop
 	s.receiver = receiver.New(receiver.Config{
 		Listener:      l.callers,
 		Configuration: s.follower.Current,
@@ -174,7 +177,7 @@
 // waits for calls in flight until ctx ends.
 func (s *Supervisor) Close(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessage(err, "stop entry") }()
-	s.stopTime.set(ctx)
+	s.stopTime.set(ctx, s.endCalls)
 	s.stopping.Store(true)
 	s.cfg.Log.Info().Dur("lame-duck-ms", s.cfg.LameDuck).Msg("entry stopping")
 	select {
--- a/prover/platform_stop_test.go
+++ b/prover/platform_stop_test.go
@@ -31,23 +31,6 @@
 			s.setServiceTime(serviceTime)
 		}
 		e := f.entries[0]
-		client := &http.Client{Timeout: 20 * time.Second}
-		send := func(method, path, id string) (status int) {
-			req, err := http.NewRequest(method, e.url(frontPort, path), nil)
-			Expect(err).NotTo(HaveOccurred())
-			req.Host = "shop.example"
-			req.Header.Set("Request-Id", id)
-			req.Header.Set("Deadline-Ms", "15000")
-			res, err := client.Do(req)
-			if err != nil {
-				return 0
-			}
-			defer res.Body.Close()
-			if _, err = io.Copy(io.Discard, res.Body); err != nil {
-				return 0
-			}
-			return res.StatusCode
-		}
 		var mu sync.Mutex
 		var wg sync.WaitGroup
 		statuses := make(map[int]int)
@@ -64,7 +47,7 @@
 					method, path = http.MethodPost, "/o/x"
 				}
 				id := fmt.Sprintf("front-0_%d", i)
-				status := send(method, path, id)
+				status := e.sendPatiently(method, path, id)
 				mu.Lock()
 				defer mu.Unlock()
 				statuses[status]++
@@ -84,4 +67,65 @@
 		Expect(statuses[http.StatusOK]).To(BeNumerically(">", 60), "%v", statuses)
 		Expect(statuses[http.StatusServiceUnavailable]).NotTo(BeZero(), "%v", statuses)
 	})
+
+	// Guards against callers whose connection ends without a response at the stop, because a server didn't respond to their calls.
+	It("ends the calls to servers that don't respond before its time is over", func() {
+		f := newPlatformFleet(3, 1)
+		Expect(f.putConfig(strings.ReplaceAll(configJSON(7), `"timeout_ms":2000`, `"timeout_ms":20000`))).To(Equal(http.StatusOK))
+		end := make(chan struct{})
+		DeferCleanup(func() { close(end) })
+		for range 4 {
+			s := f.newServer("127.0.0.1:0", time.Millisecond)
+			s.respond = func(_ http.ResponseWriter, req *http.Request) bool {
+				if strings.HasSuffix(req.URL.Path, "/silent") {
+					<-end
+				}
+				return false
+			}
+			f.start(s)
+		}
+		f.waitServing()
+		e := f.entries[0]
+		const calls = 8
+		statuses := make([]int, calls)
+		var wg sync.WaitGroup
+		for i := range calls {
+			wg.Go(func() {
+				method, path := http.MethodGet, "/s/silent"
+				if i%2 == 0 {
+					method, path = http.MethodPost, "/o/silent"
+				}
+				statuses[i] = e.sendPatiently(method, path, fmt.Sprintf("front-0_%d", i))
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		e.signal(syscall.SIGTERM)
+		wg.Wait()
+		for _, status := range statuses {
+			Expect(status).To(Equal(http.StatusBadGateway), "%v", statuses)
+		}
+		Eventually(e.done, "2s", "10ms").Should(BeClosed())
+	})
 })
+
+// patientClient is for calls whose deadline is after the stop of their entry.
+var patientClient = &http.Client{Timeout: 20 * time.Second}
+
+// sendPatiently sends a call with a deadline of 15 s and returns the status, 0 without a whole response.
+func (p *platformProcess) sendPatiently(method, path, id string) (status int) {
+	defer GinkgoRecover()
+	req, err := http.NewRequest(method, p.url(frontPort, path), nil)
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "shop.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Deadline-Ms", "15000")
+	res, err := patientClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	if _, err = io.Copy(io.Discard, res.Body); err != nil {
+		return 0
+	}
+	return res.StatusCode
+}
