entry: the release of an order ends before the entry does

A call that runs at most once and has not run waits for its release to be decided, until the call's deadline if there is no quorum of claim replicas. The entry can be gone by then, and the caller's connection with it.

Change: once the call has been ended, the release has 50 ms; it goes on in the background. The response then says that this send was not run and that the release is not decided, as at the deadline.

--- a/peridot-entry/orderer/orderer.go
+++ b/peridot-entry/orderer/orderer.go
@@ -39,6 +39,8 @@
 	replyMargin = 20 * time.Millisecond
 	// releaseTimeout is the least time that a caller waits for the release of a call that was not run, also past the deadline.
 	releaseTimeout = 250 * time.Millisecond
+	// endedReleaseTimeout is the same once the call has been ended, because its caller has left or the entry is about to stop.
+	endedReleaseTimeout = 50 * time.Millisecond
 	// settleTimeout is how long a settlement is retried in the background.
 	settleTimeout   = 30 * time.Second
 	minPollInterval = 5 * time.Millisecond
@@ -106,7 +108,7 @@
 		}
 		if claim != nil {
 			addNote(c, "claimed %q", c.IdempotencyKey)
-			return o.runClaimed(ctx, cancel, c, claim, run)
+			return o.runClaimed(ctx, callerCtx, cancel, c, claim, run)
 		}
 		res, retry, err := o.answerResend(ctx, callerCtx, c, req.Fingerprint, other)
 		if !retry {
@@ -139,11 +141,11 @@
 }
 
 // runClaimed runs the call under its claim and settles the outcome.
-func (o *Orderer) runClaimed(ctx context.Context, cancel context.CancelFunc, c *dispatcher.Call, claim *claimer.Claim, run func(context.Context) (*dispatcher.Response, error)) (*dispatcher.Response, error) {
+func (o *Orderer) runClaimed(ctx, callerCtx context.Context, cancel context.CancelFunc, c *dispatcher.Call, claim *claimer.Claim, run func(context.Context) (*dispatcher.Response, error)) (*dispatcher.Response, error) {
 	res, err := run(ctx)
 	if err != nil {
 		cancel()
-		return nil, o.settleFailure(c, claim, err)
+		return nil, o.settleFailure(callerCtx, c, claim, err)
 	}
 	stored, err := o.bufferAnswer(res, cancel)
 	if err != nil {
@@ -156,7 +158,7 @@
 
 // settleFailure settles a call that failed and returns the error for the caller. Its outcome is NotRun only after the release is decided:
 // until then the key still shows a claim that may have run.
-func (o *Orderer) settleFailure(c *dispatcher.Call, claim *claimer.Claim, err error) error {
+func (o *Orderer) settleFailure(callerCtx context.Context, c *dispatcher.Call, claim *claimer.Claim, err error) error {
 	e := &dispatcher.Error{Outcome: dispatcher.Unknown, Status: http.StatusBadGateway, Err: err}
 	errors.As(err, &e)
 	if e.Outcome != dispatcher.NotRun {
@@ -169,9 +171,12 @@
 		defer cancel()
 		done <- claim.Settle(ctx, decider.Released, nil, nil)
 	})
+	timeout := time.NewTimer(max(time.Until(c.Deadline), releaseTimeout))
+	defer timeout.Stop()
+	defer context.AfterFunc(callerCtx, func() { timeout.Reset(endedReleaseTimeout) })()
 	select {
 	case err = <-done:
-	case <-time.After(max(time.Until(c.Deadline), releaseTimeout)):
+	case <-timeout.C:
 		err = errors.New("no quorum of claim replicas in time")
 	}
 	if err != nil {
