dispatcher: the test of Stop runs claimed calls as the orderer does

The test's claimed call ended with its caller's context, so that it passed without the part of Do that ends calls under a claim. A comment is corrected.

--- a/peridot-entry/dispatcher/stop_test.go
+++ b/peridot-entry/dispatcher/stop_test.go
@@ -27,7 +27,7 @@
 	}{
 		"that a server doesn't respond to":                       {parser.Idempotent, nil, 1, Unknown, 502},
 		"that a server doesn't respond to, once per send":        {parser.OncePerSend, nil, 1, Unknown, 502},
-		"that a server doesn't respond to, at most once":         {parser.AtMostOnce, nil, 1, Unknown, 502},
+		"that a server doesn't respond to, at most once":         {parser.AtMostOnce, outlastCaller, 1, Unknown, 502},
 		"that wait for a permit":                                 {parser.Idempotent, blockAcquire, 0, NotRun, 503},
 		"that wait for a permit, at most once":                   {parser.AtMostOnce, blockAcquire, 0, NotRun, 503},
 		"that wait for free slots":                               {parser.Idempotent, deferUntilFree, 0, NotRun, 503},
@@ -69,6 +69,15 @@
 	}
 }
 
+// outlastCaller runs claimed calls as the orderer does: they go on without their caller.
+func outlastCaller(d *Dispatcher, _ *Call) {
+	d.cfg.RunAtMostOnce = func(ctx context.Context, c *Call, run func(context.Context) (*Response, error)) (*Response, error) {
+		ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.Deadline)
+		defer cancel()
+		return run(ctx)
+	}
+}
+
 func deferUntilFree(d *Dispatcher, c *Call) {
 	c.Rule.Priority = parser.Deferrable
 	d.cfg.Pick = func(picker.Request) (*picker.Choice, error) { return nil, picker.ErrFull }
--- a/peridot-entry/orderer/orderer.go
+++ b/peridot-entry/orderer/orderer.go
@@ -39,7 +39,7 @@
 	replyMargin = 20 * time.Millisecond
 	// releaseTimeout is the least time that a caller waits for the release of a call that was not run, also past the deadline.
 	releaseTimeout = 250 * time.Millisecond
-	// endedReleaseTimeout is the same once the call has been ended, because its caller has left or the entry is about to stop.
+	// endedReleaseTimeout is how long it waits for that once the call has been ended, because its caller has left or the entry is about to stop.
 	endedReleaseTimeout = 50 * time.Millisecond
 	// settleTimeout is how long a settlement is retried in the background.
 	settleTimeout   = 30 * time.Second
