reporter: count dropped log lines in the metrics

A line that the log's reader leaves no room for is dropped. The number was written only before the next line, so that it was lost if the reader stayed stuck, and no metric had it: whether a missing line of a call proves anything couldn't be told.

--- a/common/reporter/log.go
+++ b/common/reporter/log.go
@@ -36,6 +36,9 @@
 	maxQueuedLines = 2000
 )
 
+// droppedLines counts the lines that the process's NonBlockingWriters have dropped.
+var droppedLines atomic.Uint64
+
 // NonBlockingWriter is an io.Writer that passes lines to another writer in a separate goroutine, so that callers of Write never block on a
 // slow or stalled reader of the log.
 type NonBlockingWriter struct {
@@ -63,6 +66,7 @@
 	case n.lines <- bytes.Clone(line):
 	default:
 		n.dropped.Add(1)
+		droppedLines.Add(1)
 	}
 	return len(line), nil
 }
--- a/common/reporter/metrics.go
+++ b/common/reporter/metrics.go
@@ -51,6 +51,13 @@
 	if err = m.registry.Register(collectors.NewGoCollector()); err != nil {
 		return nil, err
 	}
+	dropped := prometheus.NewCounterFunc(
+		prometheus.CounterOpts{Name: cfg.Program + "_dropped_log_lines", Help: "log lines dropped because their reader was too slow"},
+		func() float64 { return float64(droppedLines.Load()) },
+	)
+	if err = m.registry.Register(dropped); err != nil {
+		return nil, err
+	}
 	r := tallyprometheus.NewReporter(tallyprometheus.Options{
 		Registerer: m.registry,
 		Gatherer:   m.registry,
