dispatcher: traces tell an attempt's connection, status and proof

The trace of a call that was refused although it ran had only the server's id, the exchange and the proof that a refusal is the call's. Two visits of one address, a refusal by the status alone, one with the signature of a call that ran, and bytes written without an answer all looked the same.

An attempt has the server's address and the entry's port of the connection, the status, also of a response that was not accepted, what made it a refusal, whether that response is signed, whether anything was written and whether the attempt may have run. The sender's errors have port and status too.

--- a/peridot-entry/dispatcher/attempt.go
+++ b/peridot-entry/dispatcher/attempt.go
@@ -43,14 +43,15 @@
 		var se *sender.Error
 		if errors.As(err, &se) {
 			a.setTiming(se.Timing)
-			a.trace.Exchange = se.Exchange
+			a.trace.Exchange, a.trace.LocalPort, a.trace.Status = se.Exchange, se.LocalPort, se.Status
 		}
 		a.fail(ctx, req, err, picker.Result{}, s)
 		return
 	}
 	a.answered.Store(true)
 	a.setTiming(res.Timing)
-	a.trace.Exchange = res.Exchange
+	a.trace.Exchange, a.trace.LocalPort, a.trace.Status = res.Exchange, res.LocalPort, res.Status
+	a.trace.Signed, a.trace.Written = res.Signed, true
 	if res.Draining {
 		a.choice.MarkDraining()
 	}
@@ -63,7 +64,7 @@
 	if err == nil && res.Shed {
 		err = errShed
 		body.Close()
-		a.trace.Refusal = string(res.Proof)
+		a.trace.Refusal, a.trace.RefusalKind = string(res.Proof), string(res.Refusal)
 	}
 	result := picker.Result{Status: res.Status, Shed: res.Shed && !res.WrongServer, Closing: res.Closing, Unreachable: res.WrongServer, Load: res.Load, RateLimit: res.RateLimit}
 	if err != nil {
@@ -91,7 +92,12 @@
 	a.trace.Result = err.Error()
 	r.Err, r.Latency = err, time.Since(a.begin)
 	var se *sender.Error
-	if errors.As(err, &se) && se.IsConnectionLost() {
+	if errors.As(err, &se) {
+		a.trace.Phase = string(se.Phase)
+	}
+	a.trace.MayHaveRun = !provesNotRun(err)
+	a.trace.Written = a.trace.Written || a.trace.MayHaveRun
+	if se != nil && se.IsConnectionLost() {
 		a.trace.Fingerprint = quarantiner.Fingerprint(req)
 	}
 	r.Unreachable = r.Unreachable || se != nil && se.Phase == sender.Connecting && se.Unreachable
--- a/peridot-entry/dispatcher/execution.go
+++ b/peridot-entry/dispatcher/execution.go
@@ -124,7 +124,7 @@
 	a := &attempt{n: x.attemptCount, begin: time.Now(), choice: choice, permit: x.permit, shedCount: x.shedCount}
 	x.permit = nil
 	a.trace = tracer.Attempt{
-		Server: choice.Server.InstanceID,
+		Server: choice.Server.InstanceID, Address: choice.Server.Address,
 		Start:  begin.Sub(x.call.Trace.Begin),
 		Queue:  a.begin.Sub(begin),
 		Hedge:  hedge,
--- a/peridot-entry/sender/conn.go
+++ b/peridot-entry/sender/conn.go
@@ -45,6 +45,15 @@
 	return pc
 }
 
+// localPort returns the entry's port, which distinguishes the connection from others to the same address.
+func (c *conn) localPort() int {
+	a, ok := c.LocalAddr().(*net.TCPAddr)
+	if !ok {
+		return 0
+	}
+	return a.Port
+}
+
 // Write implements net.Conn and records that bytes may have been sent.
 func (c *conn) Write(p []byte) (int, error) {
 	c.wrote.Store(true)
--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -39,6 +39,8 @@
 	marker, early bool
 	// doubts holds the doubtful responses among those dropped.
 	doubts []unnamed
+	// status is that of the response to the request; 0 while there is none.
+	status int
 	// writeResult receives the error of a write that runs while the response is read; nil when the request is written first, with writeErr.
 	writeResult chan error
 	writeErr    error
@@ -157,6 +159,7 @@
 
 // response returns the response; its connection can be reused once the body has been read to its end.
 func (e *exchange) response(ctx context.Context, res *http.Response) (*Response, error) {
+	e.status = res.StatusCode
 	closeDelimited := res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Request.Method != http.MethodHead
 	if closeDelimited && !e.cfg.AllowCloseDelimited {
 		return nil, e.fail(ctx, ReadingBody, errCloseDelimited)
@@ -176,6 +179,8 @@
 		Body:        b,
 		Load:        info.Load,
 		Shed:        info.Shed,
+		Refusal:     info.Refusal,
+		Signed:      info.Signed,
 		Draining:    info.Draining && !info.WrongServer,
 		Closing:     info.Closing,
 		Server:      info.Server,
@@ -185,6 +190,7 @@
 		WarmUp:      info.WarmUp,
 		Proof:       e.proof,
 		Exchange:    e.conn.exchanges,
+		LocalPort:   e.conn.localPort(),
 		Timing:      e.timing,
 	}, nil
 }
@@ -203,7 +209,10 @@
 		e.stop()
 	}
 	out.Written = e.conn.wrote.Load()
-	out.Exchange = e.conn.exchanges
+	out.Exchange, out.LocalPort, out.Status = e.conn.exchanges, e.conn.localPort(), e.status
+	if out.Status == 0 && len(e.doubts) > 0 {
+		out.Status = e.doubts[0].res.StatusCode
+	}
 	if e.isSilent(ctx) {
 		e.conn.host.markSuspect(e.begin)
 	}
@@ -335,6 +344,7 @@
 		Draining:   h.Get("Peridot-Draining") == "true",
 	}
 	if info.Shed {
+		info.Refusal = RefusalStated
 		// Other responses may carry the id of a call that the server made itself.
 		info.RequestID = h.Get("Peridot-Request-Id")
 	}
--- a/peridot-entry/sender/sender.go
+++ b/peridot-entry/sender/sender.go
@@ -60,6 +60,10 @@
 type HeaderInfo struct {
 	Load *Load
 	Shed bool
+	// Refusal is what makes the response a refusal; empty when Shed is false or the header doesn't tell.
+	Refusal RefusalKind
+	// Signed is true when a response that says that the call was not run has the signature of one that ran.
+	Signed bool
 	// Draining is true when the server says that it drains, Closing when it refuses a call and closes the connection, as servers that stop
 	// do and sometimes others.
 	Draining, Closing bool
@@ -87,6 +91,8 @@
 	Body        io.ReadCloser
 	Load        *Load
 	Shed        bool
+	Refusal     RefusalKind
+	Signed      bool
 	Draining    bool
 	Closing     bool
 	Server      string
@@ -98,9 +104,22 @@
 	Proof Proof
 	// Exchange is the number of the request on its connection, from 1, probes included.
 	Exchange int
-	Timing   Timing
+	// LocalPort is the entry's port of the connection.
+	LocalPort int
+	Timing    Timing
 }
 
+// RefusalKind is what makes a response a refusal of the call.
+type RefusalKind string
+
+// The values of RefusalKind.
+const (
+	// RefusalStated means that the backend server says that it did not run the call.
+	RefusalStated RefusalKind = "stated"
+	// RefusalWrongServer means that the status says that another server has the address, and nothing else says that the call was not run.
+	RefusalWrongServer RefusalKind = "wrong-server"
+)
+
 // Proof is why a response belongs to a request. Responses without a request id all look alike, so that one that is late, or was never asked
 // for, passes for the response to the next request on its connection.
 type Proof string
@@ -156,6 +175,10 @@
 	Timing  Timing
 	// Exchange is the number of the request on its connection, from 1, probes included; 0 when there was no connection.
 	Exchange int
+	// LocalPort is the entry's port of the connection; 0 when there was none.
+	LocalPort int
+	// Status is that of a response that was read and not accepted; 0 when there was none.
+	Status int
 	// Unreachable is true when dialing failed for a reason other than the end of the call's context.
 	Unreachable bool
 	Err         error
--- a/peridot-entry/tracer/trace.go
+++ b/peridot-entry/tracer/trace.go
@@ -12,7 +12,9 @@
 
 // Attempt records how the time of one attempt was spent.
 type Attempt struct {
-	Server  string        `json:"server"`
+	Server string `json:"server"`
+	// Address is the address of the server when the attempt was made.
+	Address string        `json:"address,omitempty"`
 	Start   time.Duration `json:"start-ns"`
 	Queue   time.Duration `json:"queue-ns"`
 	Connect time.Duration `json:"connect-ns"`
@@ -28,6 +30,22 @@
 	// Refusal is, for an attempt that the backend server refused, why the refusal is the call's: a value of sender.Proof. It is empty
 	// for other attempts.
 	Refusal string `json:"refusal,omitempty"`
+	// RefusalKind is what made the response a refusal: a value of sender.RefusalKind. Signed is true when a response that says that the call
+	// was not run has the signature of one that ran.
+	RefusalKind string `json:"refusal-kind,omitempty"`
+	Signed      bool   `json:"signed,omitempty"`
+	// LocalPort is the entry's port of the connection; 0 when there was none. Two attempts with the same address and port used one connection.
+	LocalPort int `json:"local-port,omitempty"`
+	// Status is that of the response, also of one that was a refusal or was not accepted; 0 when there was none.
+	Status int `json:"status,omitempty"`
+	// Written is true when any byte of the request was, or may have been, written to the server.
+	Written bool `json:"written,omitempty"`
+	// MayHaveRun is true for a failed attempt if nothing proves that the server did not run it.
+	MayHaveRun bool `json:"may-have-run,omitempty"`
+	// Phase is how far a failed attempt got: a value of sender.Phase. It is empty for other attempts.
+	Phase string `json:"phase,omitempty"`
+	// Unproven is true when the status promises callers that the call was not run, and nothing else in the response does.
+	Unproven bool `json:"unproven,omitempty"`
 }
 
 // Trace records how the time of one call was spent.
