dispatcher: traces tell why a call was not retried

The cause of a refused call is that of its last attempt. Why no other attempt followed (no server, all full, the budget, the attempts used up, the deadline) was dropped: the error of the pick was not kept. The trace has it as no-retry. Attempts that were started but are not in the trace, which can't happen unless the entry loses one, are counted in it. The conditions of a retry are the same as before.

--- a/peridot-entry/dispatcher/execution.go
+++ b/peridot-entry/dispatcher/execution.go
@@ -341,10 +341,25 @@
 	if len(x.pending) > 0 {
 		return true
 	}
-	if ctx.Err() != nil || isContained(a.err) || !x.mayRetry(a) {
-		return false
+	x.call.Trace.NoRetry = x.retry(ctx, a)
+	return x.call.Trace.NoRetry == ""
+}
+
+// retry starts another attempt after a has failed. If it doesn't, it returns why, as the log names it.
+func (x *execution) retry(ctx context.Context, a *attempt) (cause string) {
+	if ctx.Err() != nil {
+		return x.refusalCause(ctx, ctx.Err())
+	}
+	if isContained(a.err) {
+		return "crashes-servers"
+	}
+	if cause = x.retryObstacle(a); cause != "" {
+		return cause
+	}
+	if err := x.startAttempt(ctx, false); err != nil {
+		return x.refusalCause(ctx, err)
 	}
-	return x.startAttempt(ctx, false) == nil
+	return ""
 }
 
 // setFallback keeps a server error, to be returned if no other attempt does better. The body is completely buffered and stays
@@ -354,20 +369,19 @@
 	x.fallback = a
 }
 
-// mayRetry reports whether the call may be sent to another server after a has failed. A retry takes a token from the budget unless
-// nothing of the attempt was written to a server.
-func (x *execution) mayRetry(a *attempt) bool {
+// retryObstacle returns why the call may not be sent to another server after a has failed; empty if it may. A retry takes a token from the
+// budget unless nothing of the attempt was written to a server.
+func (x *execution) retryObstacle(a *attempt) string {
 	notRun := a.response == nil && provesNotRun(a.err)
-	if !notRun && (!x.mayRerun() || x.attemptCount >= x.call.Rule.Attempts) {
-		return false
-	}
-	if x.attemptCount >= max(x.call.Rule.Attempts, minUnrunAttempts) || x.outcome == Unknown && !x.mayRerun() {
-		return false
-	}
-	if notRun && !errors.Is(a.err, errShed) {
-		return true
-	}
-	return x.service.budget.withdraw(false)
+	switch {
+	case (!notRun || x.outcome == Unknown) && !x.mayRerun():
+		return "may-have-run"
+	case !notRun && x.attemptCount >= x.call.Rule.Attempts, x.attemptCount >= max(x.call.Rule.Attempts, minUnrunAttempts):
+		return "attempts"
+	case notRun && !errors.Is(a.err, errShed), x.service.budget.withdraw(false):
+		return ""
+	}
+	return "budget"
 }
 
 // hedgeDelay returns how long to wait before a hedge: the estimated 95th percentile of the service's latency. It returns false if
--- a/peridot-entry/dispatcher/failure.go
+++ b/peridot-entry/dispatcher/failure.go
@@ -99,6 +99,7 @@
 // fail returns the error of a call that got no response, and releases the permit.
 func (x *execution) fail(ctx context.Context, err error) *Error {
 	x.releasePermit(errors.Is(err, errShed) || errors.Is(err, picker.ErrFull))
+	x.call.Trace.Unlisted = x.attemptCount - len(x.call.Trace.Attempts)
 	e := &Error{Outcome: x.outcome, Status: http.StatusBadGateway, Err: err}
 	if x.outcome == NotRun {
 		x.call.Trace.Cause = x.refusalCause(ctx, err)
--- a/peridot-entry/tracer/trace.go
+++ b/peridot-entry/tracer/trace.go
@@ -72,6 +72,10 @@
 	Status   int           `json:"status"`
 	// Cause is why a call that was not run was refused, as a short kebab-case name; empty for other outcomes.
 	Cause string `json:"cause,omitempty"`
+	// NoRetry is why no further attempt was made after a failed one, as a short kebab-case name.
+	NoRetry string `json:"no-retry,omitempty"`
+	// Unlisted is the number of attempts that were started and are not in Attempts; any but 0 is a fault of the entry.
+	Unlisted int `json:"unlisted-attempts,omitempty"`
 	// Write is the time to forward the response body to the caller, including the time to read the rest of it.
 	Write time.Duration `json:"write-ns"`
 	// Total is the time from reading the request header to writing the last byte of the response to the connection.
