receiver: traces tell how a request came in

Whether a refusal was sent while the body was still coming, and whether a request was the first on its connection, couldn't be told from the record of a call. The trace has the size of the body and the time that it took, also of one that broke off, whether its length was known, the address of the caller's connection and the number of the request on it.

Attempts whose status alone promises that the call was not run are marked: the entry must take them for possibly run.

--- a/common/admitter/conn.go
+++ b/common/admitter/conn.go
@@ -54,6 +54,9 @@
 	// idle is true from the end of a response until the deadline for the next request is set. Only the connection's goroutine uses it.
 	idle bool
 
+	// requests counts the requests received, the current one included. Only the connection's goroutine changes it, before the handler runs.
+	requests int
+
 	// counted is the part of bytes that is in a.held. It changes while a.mu is held.
 	counted atomic.Int64
 	// since is the time in Unix nanoseconds at which the connection began to wait for a request or to hold a large one.
@@ -218,6 +221,7 @@
 			return false
 		}
 		if c.bytes.CompareAndSwap(n, serving) {
+			c.requests++
 			return true
 		}
 	}
--- a/common/admitter/serving.go
+++ b/common/admitter/serving.go
@@ -53,6 +53,14 @@
 	return ok && c.isClosedByPeer()
 }
 
+// RequestNumber returns the number of a request on its connection, from 1; 0 for a request of a server without a Listener.
+func RequestNumber(ctx context.Context) int {
+	if c, ok := ctx.Value(contextKey{}).(*conn); ok {
+		return c.requests
+	}
+	return 0
+}
+
 // ConnState is for http.Server.ConnState of a server with a Listener.
 func ConnState(nc net.Conn, state http.ConnState) {
 	if c, ok := nc.(*conn); ok && state == http.StateIdle {
--- a/peridot-entry/receiver/call.go
+++ b/peridot-entry/receiver/call.go
@@ -101,15 +101,19 @@
 		return nil, err
 	}
 	c.Header = endToEnd(req.Header)
+	bodyBegin := time.Now()
 	var err error
 	if c.Body, err = readBody(w, req, c.Deadline, maxBodyBytes); err != nil {
 		return nil, err
 	}
-	c.Trace = &tracer.Trace{RequestID: c.RequestID, Service: service, Method: c.Method, Path: path, Begin: begin}
+	c.Trace = &tracer.Trace{
+		RequestID: c.RequestID, Service: service, Method: c.Method, Path: path, Begin: begin, Body: time.Since(bodyBegin), BodyBytes: len(c.Body),
+	}
+	setCallerTrace(c.Trace, req)
 	return c, nil
 }
 
-// readBody reads the whole body of a call of up to limit bytes. It fails at the call's deadline.
+// readBody reads the whole body of a call of up to limit bytes. It fails at the call's deadline, and then returns what it has read.
 func readBody(w http.ResponseWriter, req *http.Request, deadline time.Time, limit int64) ([]byte, error) {
 	if req.Body == http.NoBody {
 		return nil, nil
@@ -128,13 +132,13 @@
 	case err == nil:
 		return body, errors.WithMessage(rc.SetReadDeadline(time.Time{}), "read the body")
 	case errors.As(err, &tooLarge):
-		return nil, &statusError{http.StatusRequestEntityTooLarge, "the body is over " + strconv.FormatInt(limit, 10) + " bytes"}
+		return body, &statusError{http.StatusRequestEntityTooLarge, "the body is over " + strconv.FormatInt(limit, 10) + " bytes"}
 	case errors.Is(err, bounder.ErrFull):
-		return nil, &statusError{http.StatusServiceUnavailable, "the bodies of other calls use all the memory set aside for bodies"}
+		return body, &statusError{http.StatusServiceUnavailable, "the bodies of other calls use all the memory set aside for bodies"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &statusError{http.StatusRequestTimeout, "the body was not in by the call's deadline"}
+		return body, &statusError{http.StatusRequestTimeout, "the body was not in by the call's deadline"}
 	}
-	return nil, errors.WithMessage(err, "read the body")
+	return body, errors.WithMessage(err, "read the body")
 }
 
 // parseCallHeader sets the deadline, issue time, depth and retry flag of a call from its Peridot-* headers. A caller can only shorten
--- a/peridot-entry/receiver/routed.go
+++ b/peridot-entry/receiver/routed.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"peridotswitch.example/common/admitter"
 	"peridotswitch.example/common/parser"
 	"peridotswitch.example/peridot-entry/dispatcher"
 	"peridotswitch.example/peridot-entry/tracer"
@@ -74,7 +75,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if r.cfg.IsRefusing != nil && r.cfg.IsRefusing() {
-		r.refuse(w, req, begin, 0, &refusal{http.StatusServiceUnavailable, "stopping", "this entry is stopping", minRetryAfter})
+		r.refuse(w, req, nil, begin, 0, &refusal{http.StatusServiceUnavailable, "stopping", "this entry is stopping", minRetryAfter})
 		return
 	}
 	r.awaitInitialized(req)
@@ -85,11 +86,12 @@
 		giveBack, refused = r.takeToken(req.Context(), c)
 	}
 	if refused != nil {
-		r.refuse(w, req, begin, initWait, refused)
+		r.refuse(w, req, c, begin, initWait, refused)
 		return
 	}
 	c.Trace.Queue, c.Trace.Receive = initWait, time.Since(begin)-initWait
 	res, err := r.cfg.Do(req.Context(), c)
+	r.markUnproven(c.Trace.Attempts)
 	if isNotRun(err) {
 		giveBack()
 	}
@@ -254,8 +256,12 @@
 	if n := routing.Limits.BodyBytes; n > 0 {
 		limit = min(limit, n)
 	}
+	setCallerTrace(c.Trace, req)
+	begin := time.Now()
 	var err error
-	if c.Body, err = readBody(w, req, c.Deadline, limit); err == nil {
+	c.Body, err = readBody(w, req, c.Deadline, limit)
+	c.Trace.Body, c.Trace.BodyBytes = time.Since(begin), len(c.Body)
+	if err == nil {
 		return nil
 	}
 	var se *statusError
@@ -268,15 +274,35 @@
 	return &refusal{http.StatusBadRequest, "bad-call", err.Error(), 0}
 }
 
-// refuse responds to a call that was not sent to any backend server; initWait is the time that it waited for initialization.
-func (r *Receiver) refuse(w http.ResponseWriter, req *http.Request, begin time.Time, initWait time.Duration, f *refusal) {
+// markUnproven marks the attempts whose status alone says that the call was not run.
+func (r *Receiver) markUnproven(attempts []tracer.Attempt) {
+	for i := range attempts {
+		a := &attempts[i]
+		a.Unproven = a.Status != 0 && a.Refusal == "" && r.cfg.Dialect.MeansNotRun(a.Status)
+	}
+}
+
+// setCallerTrace records how the request came in.
+func setCallerTrace(t *tracer.Trace, req *http.Request) {
+	t.Caller, t.CallerRequest = req.RemoteAddr, admitter.RequestNumber(req.Context())
+	t.Chunked = req.ContentLength < 0
+}
+
+// refuse responds to a call that was not sent to any backend server; c is nil if it was not read, and initWait is the time that it waited for
+// initialization.
+func (r *Receiver) refuse(w http.ResponseWriter, req *http.Request, c *dispatcher.Call, begin time.Time, initWait time.Duration, f *refusal) {
 	if f.retryAfter > 0 {
 		r.cfg.Dialect.WriteRetryAfter(w.Header(), f.retryAfter)
 	}
 	id, _, _ := r.cfg.Dialect.ParseCall(req.Header)
-	r.cfg.OnFinish(&tracer.Trace{
+	t := &tracer.Trace{
 		RequestID: id, Method: req.Method, Path: req.URL.Path, Begin: begin, Queue: initWait, Total: time.Since(begin), Outcome: string(dispatcher.NotRun), Status: f.status, Cause: f.cause, Notes: []string{f.reason},
-	})
+	}
+	setCallerTrace(t, req)
+	if c != nil {
+		t.Body, t.BodyBytes = c.Trace.Body, c.Trace.BodyBytes
+	}
+	r.cfg.OnFinish(t)
 	writeJSON(w, f.status, errorResponse{Error: f.reason, RequestID: id})
 }
 
--- a/peridot-entry/tracer/trace.go
+++ b/peridot-entry/tracer/trace.go
@@ -63,7 +63,15 @@
 	Account string `json:"account,omitempty"`
 	// Receive is the time until the request body had been read.
 	Receive time.Duration `json:"receive-ns"`
-	Claim   time.Duration `json:"claim-ns"`
+	// Body is the time to read the request body, and BodyBytes its size; of a body that broke off, what was read of it. Chunked is true when
+	// the length wasn't known in advance.
+	Body      time.Duration `json:"body-ns,omitempty"`
+	BodyBytes int           `json:"body-bytes,omitempty"`
+	Chunked   bool          `json:"chunked,omitempty"`
+	// Caller is the address of the caller's connection, and CallerRequest the number of the request on it, from 1; 0 if not known.
+	Caller        string        `json:"caller,omitempty"`
+	CallerRequest int           `json:"caller-request,omitempty"`
+	Claim         time.Duration `json:"claim-ns"`
 	// Queue is the time spent in queues without an attempt following, plus the time for which an entry that had just started held
 	// the call back.
 	Queue    time.Duration `json:"queue-ns"`
