accountant: count refusals by kind and attempts without a known outcome

New counters: refused calls by whether an attempt had been made, refusals of backend servers by kind, responses whose status alone promises that the call was not run, by status, and attempts that may have run, by phase. All label values are from fixed sets.

--- a/peridot-entry/accountant/meter.go
+++ b/peridot-entry/accountant/meter.go
@@ -1,6 +1,7 @@
 package accountant
 
 import (
+	"cmp"
 	"strconv"
 	"sync"
 	"time"
@@ -22,6 +23,12 @@
 	strays map[labelValues]tally.Counter
 	// markers are counters by service and whether the marker was sent.
 	markers map[labelValues]tally.Counter
+	// refused are counters of calls by service and whether an attempt had been made, serverRefusals of attempts by service and kind, unproven by
+	// service and status, and unknown by service and phase.
+	refused        map[labelValues]tally.Counter
+	serverRefusals map[labelValues]tally.Counter
+	unproven       map[labelValues]tally.Counter
+	unknown        map[labelValues]tally.Counter
 	// lost are counters by service and whether the attempt was replaced.
 	lost map[labelValues]tally.Counter
 	// faulty, crashes and limited are counters by service.
@@ -34,7 +41,8 @@
 	watchFailures map[string]tally.Counter
 }
 
-// labelValues are the service label and the value of the other label of a metric: outcome, result, cause, named or sent.
+// labelValues are the service label and the value of the other label of a metric: outcome, result, cause, named, sent, attempted, kind,
+// status or phase.
 type labelValues struct{ service, value string }
 
 // callMetrics are the metrics of the calls with one service and outcome.
@@ -56,6 +64,8 @@
 	return &Meter{
 		scope: scope, calls: make(map[labelValues]*callMetrics), probes: make(map[labelValues]tally.Counter),
 		refusals: make(map[labelValues]tally.Counter), strays: make(map[labelValues]tally.Counter), markers: make(map[labelValues]tally.Counter), lost: make(map[labelValues]tally.Counter), faulty: make(map[string]tally.Counter),
+		refused: make(map[labelValues]tally.Counter), serverRefusals: make(map[labelValues]tally.Counter),
+		unproven: make(map[labelValues]tally.Counter), unknown: make(map[labelValues]tally.Counter),
 		crashes: make(map[string]tally.Counter), limited: make(map[string]tally.Counter),
 		tokens: make(map[string]tally.Counter), watchFailures: make(map[string]tally.Counter),
 	}
@@ -72,6 +82,30 @@
 	}
 	if t.Cause != "" {
 		m.counter(m.refusals, "refusals", "cause", labelValues{t.Service, t.Cause}).Inc(1)
+		m.counter(m.refused, "refused_calls", "attempted", labelValues{t.Service, strconv.FormatBool(len(t.Attempts) > 0)}).Inc(1)
+	}
+	for i := range t.Attempts {
+		m.recordAttempt(t.Service, &t.Attempts[i])
+	}
+}
+
+// otherPhase is the label of attempts that failed outside the sender.
+const otherPhase = "other"
+
+// recordAttempt counts an attempt that was refused, or may have been run though it failed, or whose status alone says that it was not run.
+func (m *Meter) recordAttempt(service string, a *tracer.Attempt) {
+	if a.RefusalKind != "" {
+		kind := a.RefusalKind
+		if a.Signed {
+			kind += "-signed"
+		}
+		m.counter(m.serverRefusals, "server_refusals", "kind", labelValues{service, kind}).Inc(1)
+	}
+	if a.MayHaveRun {
+		m.counter(m.unknown, "unknown_attempts", "phase", labelValues{service, cmp.Or(a.Phase, otherPhase)}).Inc(1)
+	}
+	if a.Unproven {
+		m.counter(m.unproven, "unproven_refusals", "status", labelValues{service, strconv.Itoa(a.Status)}).Inc(1)
 	}
 }
 
