supervisor: the line of a call shows what was sent, and how it came in

The log line and peridotctl explain show the new fields of the trace. Fields that say nothing are left out, and the lines of calls that a single attempt answered are as before.

--- a/peridot-entry/supervisor/calllog.go
+++ b/peridot-entry/supervisor/calllog.go
@@ -69,19 +69,52 @@
 	if len(t.Notes) > 0 {
 		event = event.Strs("notes", t.Notes)
 	}
+	detailed := t.Outcome != string(dispatcher.Ran) || len(t.Attempts) != 1
+	if detailed {
+		event = logDetails(event, t)
+	}
 	if len(t.Attempts) > 0 {
-		event = event.Array("attempts", attempts(t.Attempts))
+		event = event.Array("attempts", attempts{t.Attempts, detailed})
 	}
 	event.Msg("call")
 }
 
-// attempts logs the backend server, times and result of each attempt.
-type attempts []tracer.Attempt
+// logDetails adds how the request came in and why nothing more was sent, apart from what says nothing.
+func logDetails(event *zerolog.Event, t *tracer.Trace) *zerolog.Event {
+	if t.Caller != "" {
+		event = event.Str("caller", t.Caller)
+	}
+	if t.CallerRequest > 0 {
+		event = event.Int("caller-request", t.CallerRequest)
+	}
+	if t.Chunked {
+		event = event.Bool("chunked", true)
+	}
+	if t.BodyBytes > 0 || t.Chunked {
+		event = event.Int("body-bytes", t.BodyBytes).Dur("body-ms", t.Body)
+	}
+	if t.Outcome == string(dispatcher.NotRun) && len(t.Attempts) == 0 && t.Unlisted == 0 {
+		event = event.Bool("sent", false)
+	}
+	if t.NoRetry != "" {
+		event = event.Str("no-retry", t.NoRetry)
+	}
+	if t.Unlisted != 0 {
+		event = event.Int("unlisted-attempts", t.Unlisted)
+	}
+	return event
+}
+
+// attempts logs the backend server, times and result of each attempt; detailed adds its connection and what is known of its outcome.
+type attempts struct {
+	list     []tracer.Attempt
+	detailed bool
+}
 
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
-func (list attempts) MarshalZerologArray(a *zerolog.Array) {
-	for i := range list {
-		at := &list[i]
+func (l attempts) MarshalZerologArray(a *zerolog.Array) {
+	for i := range l.list {
+		at := &l.list[i]
 		d := zerolog.Dict().Str("server", at.Server).Dur("start-ms", at.Start).Dur("connect-ms", at.Connect).Dur("wait-ms", at.Wait).
 			Dur("read-ms", at.Read).Str("result", at.Result)
 		if at.Exchange > 0 {
@@ -90,9 +123,37 @@
 		if at.Refusal != "" {
 			d = d.Str("refusal", at.Refusal)
 		}
+		if l.detailed {
+			d = logAttemptDetails(d, at)
+		}
 		if at.Fingerprint != "" {
 			d = d.Str("fingerprint", at.Fingerprint)
 		}
 		a.Dict(d)
 	}
 }
+
+func logAttemptDetails(d *zerolog.Event, at *tracer.Attempt) *zerolog.Event {
+	if at.Address != "" {
+		d = d.Str("address", at.Address)
+	}
+	if at.LocalPort > 0 {
+		d = d.Int("local-port", at.LocalPort)
+	}
+	if at.Status > 0 {
+		d = d.Int("status", at.Status)
+	}
+	if at.RefusalKind != "" {
+		d = d.Str("refusal-kind", at.RefusalKind)
+	}
+	if at.Signed {
+		d = d.Bool("signed", true)
+	}
+	if at.Unproven {
+		d = d.Bool("unproven", true)
+	}
+	if at.Result != tracer.Answered && at.Result != tracer.Canceled {
+		d = d.Bool("written", at.Written)
+	}
+	return d
+}
--- a/peridotctl/commander/report.go
+++ b/peridotctl/commander/report.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -122,6 +123,44 @@
 	return nil
 }
 
+type explainAttempt struct {
+	Server      string `json:"server"`
+	Start       int64  `json:"start-ns"`
+	Result      string `json:"result"`
+	Hedge       bool   `json:"hedge"`
+	Address     string `json:"address"`
+	LocalPort   int    `json:"local-port"`
+	Exchange    int    `json:"exchange"`
+	Status      int    `json:"status"`
+	Refusal     string `json:"refusal"`
+	RefusalKind string `json:"refusal-kind"`
+	Signed      bool   `json:"signed"`
+	Unproven    bool   `json:"unproven"`
+	Written     bool   `json:"written"`
+	MayHaveRun  bool   `json:"may-have-run"`
+}
+
+// details returns the connection of the attempt and what is known of its outcome, with the names of the log's fields.
+func (a *explainAttempt) details() string {
+	var d []string
+	add := func(name string, value any, known bool) {
+		if known {
+			d = append(d, fmt.Sprintf("%s %v", name, value))
+		}
+	}
+	add("address", a.Address, a.Address != "")
+	add("local-port", a.LocalPort, a.LocalPort > 0)
+	add("exchange", a.Exchange, a.Exchange > 0)
+	add("status", a.Status, a.Status > 0)
+	add("refusal", strconv.Quote(a.Refusal), a.Refusal != "")
+	add("refusal-kind", strconv.Quote(a.RefusalKind), a.RefusalKind != "")
+	add("signed", a.Signed, a.Signed)
+	add("unproven", a.Unproven, a.Unproven)
+	add("written", a.Written, true)
+	add("may-have-run", a.MayHaveRun, a.MayHaveRun)
+	return strings.Join(d, ", ")
+}
+
 type explainReport struct {
 	Calls []struct {
 		RequestID string    `json:"request-id"`
@@ -134,13 +173,18 @@
 		Total     int64     `json:"total-ns"`
 		Entry     string    `json:"entry"`
 		Notes     []string  `json:"notes"`
-		Attempts  []struct {
-			Server string `json:"server"`
-			Start  int64  `json:"start-ns"`
-			Result string `json:"result"`
-			Hedge  bool   `json:"hedge"`
-		} `json:"attempts"`
-		Parts []struct {
+		Cause     string    `json:"cause"`
+		NoRetry   string    `json:"no-retry"`
+		Unlisted  int       `json:"unlisted-attempts"`
+
+		Caller        string `json:"caller"`
+		CallerRequest int    `json:"caller-request"`
+		Body          int64  `json:"body-ns"`
+		BodyBytes     int    `json:"body-bytes"`
+		Chunked       bool   `json:"chunked"`
+
+		Attempts []explainAttempt `json:"attempts"`
+		Parts    []struct {
 			Part       string  `json:"part"`
 			DurationMS float64 `json:"duration-ms"`
 			Share      float64 `json:"share"`
@@ -175,6 +219,14 @@
 				kind = "hedge, attempt"
 			}
 			fmt.Fprintf(c.cfg.Out, "%s %d to %s after %.3f ms: %s\n", kind, i+1, strconv.Quote(a.Server), float64(a.Start)/float64(time.Millisecond), a.Result)
+			fmt.Fprintln(c.cfg.Out, "   ", a.details())
+		}
+		if call.CallerRequest > 0 {
+			fmt.Fprintf(c.cfg.Out, "request %d on the connection from %s, body of %d bytes in %.3f ms, chunked %t\n",
+				call.CallerRequest, strconv.Quote(call.Caller), call.BodyBytes, float64(call.Body)/float64(time.Millisecond), call.Chunked)
+		}
+		if call.Cause != "" || call.NoRetry != "" || call.Unlisted != 0 {
+			fmt.Fprintf(c.cfg.Out, "cause %q, no-retry %q, unlisted-attempts %d\n", call.Cause, call.NoRetry, call.Unlisted)
 		}
 		for _, n := range call.Notes {
 			fmt.Fprintln(c.cfg.Out, "note:", n)
