dispatcher: a test that the trace lists every attempt

An attempt that unlisted-attempts counts is a sign of a fault of the entry, so that the count must be 0 for calls that end in the usual ways.

--- a/peridot-entry/dispatcher/noretry_test.go
+++ b/peridot-entry/dispatcher/noretry_test.go
@@ -49,6 +49,9 @@
 			if c.Trace.NoRetry != tt.want {
 				t.Errorf("no retry because of %q, want %q", c.Trace.NoRetry, tt.want)
 			}
+			if c.Trace.Unlisted != 0 {
+				t.Errorf("%d attempts aren't listed", c.Trace.Unlisted)
+			}
 		})
 	}
 }
