dispatcher: a call past its deadline isn't retried for that cause

The context of an attempt and that of its call end at the same deadline, in any order. Whether the call is retried doesn't change.

--- a/peridot-entry/dispatcher/execution.go
+++ b/peridot-entry/dispatcher/execution.go
@@ -354,6 +354,10 @@
 		return "crashes-servers"
 	}
 	if cause = x.retryObstacle(a); cause != "" {
+		if x.call.IsExpired() {
+			// The attempt's context has the same deadline and may end before ctx.
+			return "deadline"
+		}
 		return cause
 	}
 	if err := x.startAttempt(ctx, false); err != nil {
