prover: runs that compare what callers were told with what servers ran; a call was refused although it ran

The runs start 3 or 5 control members, 4 to 8 entries and 6 to 12 servers in three zones, and judge by the ledgers of 60 clients and of the servers alone.

Order of events, the same in all 28 violations (checked in the reports): servers restart at their addresses under other ids. An entry sends a call to address A for the old id; the new process refuses it, with the call's id, and 0 to 60 ms later writes the refusal once more. In the meantime the entry learns of the new id, which it hasn't tried, and sends the call to A again, on the same connection. The server runs it; the entry reads the copy of the refusal, takes it for this attempt's as it names the call, and refuses the call (REFUSED) or sends it to a third server (TWICE).

The product is unchanged.

--- a/prover/platform_fleet_test.go
+++ b/prover/platform_fleet_test.go
@@ -1,6 +1,7 @@
 package prover
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,7 +24,11 @@
 	// plain is set if the programs were built without the race detector.
 	plain bool
 	// memory is the memory of each process, in megabytes; 0 for that of its role.
-	memory  int
+	memory int
+	// zones are the availability zones, over which the processes of each role are spread; only "a" when empty.
+	zones []string
+	// proxied puts a proxy in front of each port of the control members.
+	proxied bool
 	control []*platformProcess
 	entries []*platformProcess
 	mu      sync.Mutex
@@ -35,6 +40,9 @@
 type platformProcess struct {
 	*process
 	ip, settings, data string
+	// zone is "a" when empty. bind is the address on which the process listens behind proxies; ip when empty.
+	zone, bind string
+	proxies    []*proxy
 }
 
 func (p *platformProcess) url(port int, path string) string {
@@ -73,8 +81,12 @@
 
 func startFleet(f *platformFleet, program string, members, entries int) *platformFleet {
 	deferCleanup(f.stopServers)
-	for range members {
-		f.control = append(f.control, &platformProcess{ip: newIP()})
+	for i := range members {
+		p := &platformProcess{ip: newIP(), zone: f.zone(i)}
+		if f.proxied {
+			p.openProxies(7620, controlPort, directoryPort)
+		}
+		f.control = append(f.control, p)
 	}
 	for i, p := range f.control {
 		p.data = filepath.Join(f.dir, fmt.Sprintf("data-%d", i))
@@ -82,7 +94,7 @@
 		p.process = start(program, "control", "--settings", p.settings)
 	}
 	for i := range entries {
-		p := &platformProcess{ip: newIP()}
+		p := &platformProcess{ip: newIP(), zone: f.zone(i)}
 		f.writeSettings(p, fmt.Sprintf("front-%d", i), true)
 		p.process = start(program, "entry", "--settings", p.settings)
 		f.entries = append(f.entries, p)
@@ -90,6 +102,24 @@
 	return f
 }
 
+// zone returns the availability zone of the process with the given number in its role.
+func (f *platformFleet) zone(i int) string {
+	if len(f.zones) == 0 {
+		return "a"
+	}
+	return f.zones[i%len(f.zones)]
+}
+
+// openProxies makes the process reachable only through proxies. It is called before the settings are written.
+func (p *platformProcess) openProxies(ports ...int) {
+	p.bind = newIP()
+	for _, port := range ports {
+		proxy, stop := openProxyAt(fmt.Sprintf("%s:%d", p.ip, port), fmt.Sprintf("%s:%d", p.bind, port))
+		deferCleanup(stop)
+		p.proxies = append(p.proxies, proxy)
+	}
+}
+
 // addMember starts an empty control member at a new address, which asks the others to join.
 func (f *platformFleet) addMember(id string) *platformProcess {
 	p := &platformProcess{ip: newIP(), data: filepath.Join(f.dir, "data-"+id)}
@@ -125,10 +155,11 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", c.ip, controlPort))
 	}
 	p.settings = filepath.Join(f.dir, id+".yaml")
-	text := fmt.Sprintf("instance-id: %s\navailability-zone: a\nip: %s\nseeds: %s\npeer-ports: \"7620,7635\"\nfound: %t\nmemory-mb: %d\ngrace-s: 6\nretry-slack: 60\n",
-		id, p.ip, strings.Join(seeds, ","), found, f.memoryMB(p))
+	bind := cmp.Or(p.bind, p.ip)
+	text := fmt.Sprintf("instance-id: %s\navailability-zone: %s\nip: %s\nbind: %s\nseeds: %s\npeer-ports: \"7620,7635\"\nfound: %t\nmemory-mb: %d\ngrace-s: 6\nretry-slack: 60\n",
+		id, cmp.Or(p.zone, "a"), p.ip, bind, strings.Join(seeds, ","), found, f.memoryMB(p))
 	if p.data != "" {
-		text += fmt.Sprintf("data: %s\ncontrol: %s:%d\ndirectory: %s:%d\n", p.data, p.ip, controlPort, p.ip, directoryPort)
+		text += fmt.Sprintf("data: %s\ncontrol: %s:%d\ndirectory: %s:%d\n", p.data, bind, controlPort, bind, directoryPort)
 	} else {
 		text += fmt.Sprintf("front: %s:%d\nready: %s:%d\ndirectory: %s:%d\n", p.ip, frontPort, p.ip, readyPort, p.ip, directoryPort)
 	}
