--- a/prover/platform_refusals_test.go
+++ b/prover/platform_refusals_test.go
@@ -25,6 +25,7 @@
 	refusalFor        = flag.Duration("refusals-for", 8*time.Second, "how long faults are injected for each seed")
 	refusalFaultNames = flag.String("refusals-faults", "", "comma-separated names of the faults to inject; all when empty, or none")
 	refusalOdd        = flag.Bool("refusals-odd", false, "also have servers that contradict themselves about what they ran")
+	refusalKeep       = flag.Bool("refusals-keep", false, "keep the logs of runs that broke no rule")
 	refusalClients    = flag.Int("refusals-clients", 60, "number of clients")
 )
 
@@ -124,6 +125,7 @@
 		m.startServer("")
 	}
 	r.fleet.waitServing()
+	r.waitServersKnown()
 	rnd := rand.New(rand.NewPCG(r.seed, 1))
 	var clients, injectors sync.WaitGroup
 	done := make(chan struct{})
@@ -152,6 +154,16 @@
 	r.judge()
 }
 
+// waitServersKnown waits until every entry has all servers on its list.
+func (r *refusalRun) waitServersKnown() {
+	GinkgoHelper()
+	for _, e := range r.fleet.entries {
+		for _, m := range r.machines {
+			Eventually(e.output.String, "20s", "20ms").Should(ContainSubstring(fmt.Sprintf("%q:%q", "server", m.server.Load().id)))
+		}
+	}
+}
+
 // waitQuiet waits until no call can run any more: what links held has been delivered, and no server has any more to do with a call.
 func (r *refusalRun) waitQuiet() {
 	for _, m := range r.machines {
@@ -232,7 +244,7 @@
 		}
 	}
 	GinkgoWriter.Println(r.summary())
-	if len(r.violations) == 0 {
+	if len(r.violations) == 0 && !*refusalKeep {
 		_ = os.RemoveAll(r.dir)
 		return
 	}
