server: a response doesn't wait for the rest of its request's body

A caller that sends the header of an upload first, and the body late or never, got the refusal of an entry (stopping, no configuration, no route, bad header, body too large) only after the body: with a body in chunks or of up to 256 KiB there was no limit to the wait, so that a call that can't be served wasn't refused at once, and a stopping entry waited for it until it was killed. A caller that waits for 100 Continue got neither.

Cause: net/http discards up to 256 KiB of an unread body before it writes the header of the response, and bounder closes the body, which does the same, before that. No read deadline holds then. It was so at every server of the project that uses common/server.

The server now discards what has arrived of an unread body, for 10 ms at most. If that was all, the connection is kept; otherwise the response goes out with Connection: close, and the connection is closed 500 ms after it as after a body over the limit, so that no reset follows the response.

--- a/common/server/server.go
+++ b/common/server/server.go
@@ -41,7 +41,7 @@
 // New starts serving; Close stops it.
 func New(cfg Config) *Server {
 	s := &Server{err: make(chan error, 1)}
-	handler := cfg.Handler
+	handler := respondAtOnce(cfg.Handler)
 	if cfg.MaxBodyBytes > 0 {
 		handler = bounder.New(bounder.Config{MessageBytes: cfg.MaxBodyBytes, TotalBytes: cfg.MaxBodyBytes}).Handler(handler)
 	}
--- a/common/server/server_test.go
+++ b/common/server/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -166,3 +167,53 @@
 		})
 	}
 }
+
+// Guards against responses that wait for a body which the handler doesn't read, and against such a body that is parsed as a request.
+func TestResponseWithoutRestOfBody(t *testing.T) {
+	const embedded = "GET /embedded HTTP/1.1\r\nHost: a\r\n\r\n"
+	tests := map[string]struct {
+		limit      int64
+		head, rest string
+	}{
+		"of known length":                 {0, "Content-Length: 300\r\n\r\n", embedded},
+		"of known length, with a limit":   {1 << 20, "Content-Length: 300\r\n\r\n", embedded},
+		"of unknown length":               {0, "Transfer-Encoding: chunked\r\n\r\n", "0\r\n\r\n" + embedded},
+		"of unknown length, with a limit": {1 << 20, "Transfer-Encoding: chunked\r\n\r\n", "0\r\n\r\n" + embedded},
+		"that waits for 100 Continue":     {1 << 20, "Expect: 100-continue\r\nContent-Length: 300\r\n\r\n", embedded},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var handled atomic.Int32
+			h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				handled.Add(1)
+				http.Error(w, "refused", http.StatusServiceUnavailable)
+			})
+			c, err := net.Dial("tcp", startHandler(t, h, test.limit, admitter.NewLimits(184<<20, 4100)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			_ = c.SetDeadline(time.Now().Add(2 * time.Second))
+			if _, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\n"+test.head); err != nil {
+				t.Fatal(err)
+			}
+			r := bufio.NewReader(c)
+			res, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if text, err := io.ReadAll(res.Body); res.StatusCode != http.StatusServiceUnavailable || string(text) != "refused\n" || err != nil || !res.Close {
+				t.Errorf("got %s, %q, %v, closing: %t", res.Status, text, err, res.Close)
+			}
+			if _, err = io.WriteString(c, test.rest); err != nil {
+				t.Error(err)
+			}
+			if after, err := io.ReadAll(r); len(after) > 0 || err != nil {
+				t.Errorf("after the response: %q, %v", after, err)
+			}
+			if n := handled.Load(); n != 1 {
+				t.Errorf("%d requests handled", n)
+			}
+		})
+	}
+}
--- a/peridot-entry/receiver/routed_test.go
+++ b/peridot-entry/receiver/routed_test.go
@@ -71,6 +71,9 @@
 				if h.Get("Bad") != "" {
 					return "", 0, errors.New("no number")
 				}
+				if remaining, err := time.ParseDuration(h.Get("Remaining")); err == nil {
+					return h.Get("Id"), remaining, nil
+				}
 				return h.Get("Id"), time.Second, nil
 			},
 			MeansNotRun:     func(status int) bool { return status == http.StatusServiceUnavailable },
