receiver: a passed deadline of a body cancels no later call (test)

Suspected: the read deadline that readBody sets is met by net/http's read in the background once the body has ended, which would cancel the context of the connection, and so each later call on it.

--- a/peridot-entry/receiver/refusal_test.go
+++ b/peridot-entry/receiver/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"peridotswitch.example/peridot-entry/dispatcher"
 )
 
 const (
@@ -164,3 +167,26 @@
 		Expect(tr.ids()).To(Equal([]string{"second", "second"}))
 	})
 })
+
+var _ = Describe("a call whose deadline has passed when its body is read", func() {
+	// Guards against a read deadline that ends the context of a connection, and with it all later calls on it.
+	It("doesn't cancel the calls that follow on its connection", func() {
+		tr := newRoutedTestReceiver()
+		tr.do = func(ctx context.Context, c *dispatcher.Call) (*dispatcher.Response, error) {
+			select {
+			case <-ctx.Done():
+				return nil, &dispatcher.Error{Outcome: dispatcher.NotRun, Err: ctx.Err()}
+			case <-time.After(5 * time.Millisecond):
+				return respondWith(200)(ctx, c)
+			}
+		}
+		for _, body := range []string{"Content-Length: 3\r\n\r\nabc", "Transfer-Encoding: chunked\r\n\r\n" + chunked("abc") + "0\r\n\r\n"} {
+			conn, r := dialRouted(tr)
+			for range 3 {
+				_, err := io.WriteString(conn, uploadHead+"Remaining: 1ns\r\n"+body)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(expectResponse(conn, r, time.Second).StatusCode).To(Equal(200))
+			}
+		}
+	})
+})
