admitter: a request with a length and chunks ends its connection

A routed call with both Content-Length and Transfer-Encoding left its connection open, and what followed its last chunk was handled as the next request: a backend server gets a request that a sender or an intermediary which goes by the length takes for a part of the body. RFC 9112, section 6.3, wants the connection closed after the response.

Cause: net/http removes Content-Length from the header when there is a Transfer-Encoding, so that the condition in handleRoutedCall was never true. The product's own interface closed every connection after a body in chunks instead.

The connections of an Admitter now find the Content-Length fields in what they read. A request in chunks that may have one gets Connection: close, at every server of the project. Each request with both is found, also where net/http's buffer already has a part of it; a request in chunks that was sent before the response to one with a length may be taken for one with both, which costs a connection. Other bodies in chunks on the product's own interface no longer close their connection.

--- a/common/admitter/conn.go
+++ b/common/admitter/conn.go
@@ -52,7 +52,8 @@
 	// interrupted is set while the read deadline is one that only ends a read.
 	interrupted atomic.Bool
 	// idle is true from the end of a response until the deadline for the next request is set. Only the connection's goroutine uses it.
-	idle bool
+	idle    bool
+	framing framing
 
 	// counted is the part of bytes that is in a.held. It changes while a.mu is held.
 	counted atomic.Int64
@@ -66,6 +67,9 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (n int, err error) {
+	if c.bytes.Load() >= 0 {
+		c.framing.refill(len(p))
+	}
 	n, err = c.Conn.Read(p)
 	if n == 0 {
 		if err != nil {
@@ -73,6 +77,7 @@
 		}
 		return n, err
 	}
+	c.framing.add(p[:n])
 	if c.bytes.Load() < 0 {
 		return n, err
 	}
@@ -172,6 +177,9 @@
 
 // SetReadDeadline implements net.Conn. It replaces the server's timeouts by those of c.timeouts while no request is in service.
 func (c *conn) SetReadDeadline(t time.Time) error {
+	if c.bytes.Load() >= 0 {
+		c.framing.deadlines++
+	}
 	interrupts := isInterrupt(t)
 	if interrupts != c.interrupted.Load() {
 		c.interrupted.Store(interrupts)
@@ -233,6 +241,7 @@
 	c.since.Store(c.a.cfg.Now().UnixNano())
 	c.served.Store(true)
 	c.idle = true
+	c.framing.next()
 	for {
 		n := c.bytes.Load()
 		if n < endedBelow || c.bytes.CompareAndSwap(n, 0) {
--- a/common/admitter/serving.go
+++ b/common/admitter/serving.go
@@ -71,6 +71,9 @@
 		if !c.begin() {
 			panic(http.ErrAbortHandler)
 		}
+		if c.isAmbiguous(r) {
+			w.Header().Set("Connection", "close")
+		}
 		if r.ContentLength < 0 {
 			body := &chunkedBody{ReadCloser: r.Body}
 			// net/http must find its own body in its request: it decides by that how to close the connection.
--- a/peridot-entry/receiver/call.go
+++ b/peridot-entry/receiver/call.go
@@ -30,11 +30,6 @@
 // handleCall forwards a call to a backend server of the service that its path names.
 func (r *Receiver) handleCall(w http.ResponseWriter, req *http.Request) {
 	begin := time.Now()
-	if len(req.TransferEncoding) > 0 {
-		// net/http removes Content-Length when Transfer-Encoding is present too, so a request with both can't be told from
-		// one with only Transfer-Encoding. After a request with both, the connection must be closed (RFC 9112, section 6.3).
-		w.Header().Set("Connection", "close")
-	}
 	c, err := r.parseCall(w, req, begin)
 	if err != nil {
 		var se *statusError
--- a/peridot-entry/receiver/routed.go
+++ b/peridot-entry/receiver/routed.go
@@ -70,9 +70,6 @@
 // handleRoutedCall forwards a call to a backend server of the service that the route for its host and path selects.
 func (r *Receiver) handleRoutedCall(w http.ResponseWriter, req *http.Request) {
 	begin := time.Now()
-	if len(req.TransferEncoding) > 0 && req.Header.Get("Content-Length") != "" {
-		w.Header().Set("Connection", "close")
-	}
 	if r.cfg.IsRefusing != nil && r.cfg.IsRefusing() {
 		r.refuse(w, req, begin, 0, &refusal{http.StatusServiceUnavailable, "stopping", "this entry is stopping", minRetryAfter})
 		return
