--- a/peridot-entry/receiver/refusal_test.go
+++ b/peridot-entry/receiver/refusal_test.go
@@ -33,7 +33,7 @@
 func dialRouted(tr *routedTestReceiver) (net.Conn, *bufio.Reader) {
 	conn, err := net.Dial("tcp", tr.address)
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(conn.Close)
+	DeferCleanup(func() { _ = conn.Close() })
 	Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
 	return conn, bufio.NewReader(conn)
 }
