--- a/peridot-entry/receiver/framing_test.go
+++ b/peridot-entry/receiver/framing_test.go
@@ -24,22 +24,23 @@
 		want []string
 		ids  []string
 	}{
-		"with both a length and chunks":         {uploadHead + length + chunks + "\r\n3\r\nabc\r\n0\r\n\r\n" + embedded, []string{"200 OK", "Connection: close"}, []string{"first"}},
-		"with both the other way round":         {uploadHead + chunks + "content-length:3\r\n\r\n3\r\nabc\r\n0\r\n\r\n" + embedded, []string{"200 OK", "Connection: close"}, []string{"first"}},
-		"with both, behind another call":        {uploadHead + length + "\r\nabc" + uploadHead + length + chunks + "\r\n3\r\nabc\r\n0\r\n\r\n" + embedded, []string{"200 OK", "Connection: close"}, []string{"first", "first"}},
-		"with chunks behind one with a length":  {two, []string{"200 OK"}, []string{"first", "second"}},
-		"with several transfer encodings":       {uploadHead + chunks + chunks + "\r\n3\r\nabc\r\n0\r\n\r\n" + embedded, []string{"501 Not Implemented"}, nil},
-		"with a folded transfer encoding":       {uploadHead + "Transfer-Encoding: x,\r\n chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" + embedded, []string{"501 Not Implemented"}, nil},
-		"with a folded length":                  {uploadHead + "Content-Length: 3\r\n 0\r\n\r\nabc" + embedded, []string{"400 Bad Request"}, nil},
-		"with two lengths":                      {uploadHead + length + "Content-Length: 4\r\n\r\nabc" + embedded, []string{"400 Bad Request"}, nil},
-		"with chunk extensions and a trailer":   {uploadHead + chunks + "\r\n3;a=b\r\nabc\r\n0;c\r\nD: e\r\n\r\n", []string{"200 OK"}, []string{"first"}},
-		"with an endless chunk extension":       {uploadHead + chunks + "\r\n3;" + strings.Repeat("a", 1<<16) + "\r\nabc\r\n0\r\n\r\n" + embedded, []string{"400 Bad Request"}, nil},
-		"with a malformed trailer":              {uploadHead + chunks + "\r\n3\r\nabc\r\n0\r\nD\r\n\r\n" + embedded, []string{"400 Bad Request"}, nil},
-		"with a chunk longer than its size":     {uploadHead + chunks + "\r\n3\r\nabcd\r\n0\r\n\r\n" + embedded, []string{"400 Bad Request"}, nil},
-		"longer than its length":                {uploadHead + length + "\r\nabc=" + embedded, []string{"200 OK", "400 Bad Request"}, []string{"first"}},
-		"with an unknown expectation":           {uploadHead + "Expect: tea\r\n" + length + "\r\nabc" + embedded, []string{"417 Expectation Failed"}, nil},
-		"of an unknown version":                 {strings.Replace(uploadHead, "1.1", "3.0", 1) + length + "\r\nabc" + embedded, []string{"505 HTTP Version Not Supported"}, nil},
-		"that is not in by the call's deadline": {uploadHead + "Remaining: 50ms\r\n" + length + "\r\nab", []string{"408 Request Timeout", "Connection: close"}, nil},
+		"with both a length and chunks":          {uploadHead + length + chunks + "\r\n3\r\nabc\r\n0\r\n\r\n" + embedded, []string{"200 OK", "Connection: close"}, []string{"first"}},
+		"with both the other way round":          {uploadHead + chunks + "content-length:3\r\n\r\n3\r\nabc\r\n0\r\n\r\n" + embedded, []string{"200 OK", "Connection: close"}, []string{"first"}},
+		"with both, behind another call":         {uploadHead + length + "\r\nabc" + uploadHead + length + chunks + "\r\n3\r\nabc\r\n0\r\n\r\n" + embedded, []string{"200 OK", "Connection: close"}, []string{"first", "first"}},
+		"with chunks behind one with a length":   {two, []string{"200 OK"}, []string{"first", "second"}},
+		"with several transfer encodings":        {uploadHead + chunks + chunks + "\r\n3\r\nabc\r\n0\r\n\r\n" + embedded, []string{"501 Not Implemented"}, nil},
+		"with a folded transfer encoding":        {uploadHead + "Transfer-Encoding: x,\r\n chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" + embedded, []string{"501 Not Implemented"}, nil},
+		"with a folded length":                   {uploadHead + "Content-Length: 3\r\n 0\r\n\r\nabc" + embedded, []string{"400 Bad Request"}, nil},
+		"with two lengths":                       {uploadHead + length + "Content-Length: 4\r\n\r\nabc" + embedded, []string{"400 Bad Request"}, nil},
+		"with chunk extensions and a trailer":    {uploadHead + chunks + "\r\n3;a=b\r\nabc\r\n0;c\r\nD: e\r\n\r\n", []string{"200 OK"}, []string{"first"}},
+		"with an endless chunk extension":        {uploadHead + chunks + "\r\n3;" + strings.Repeat("a", 1<<16) + "\r\nabc\r\n0\r\n\r\n" + embedded, []string{"400 Bad Request"}, nil},
+		"with a malformed trailer":               {uploadHead + chunks + "\r\n3\r\nabc\r\n0\r\nD\r\n\r\n" + embedded, []string{"400 Bad Request"}, nil},
+		"with a chunk longer than its size":      {uploadHead + chunks + "\r\n3\r\nabcd\r\n0\r\n\r\n" + embedded, []string{"400 Bad Request"}, nil},
+		"longer than its length":                 {uploadHead + length + "\r\nabc=" + embedded, []string{"200 OK", "400 Bad Request"}, []string{"first"}},
+		"with an unknown expectation":            {uploadHead + "Expect: tea\r\n" + length + "\r\nabc" + embedded, []string{"417 Expectation Failed"}, nil},
+		"of an unknown version":                  {strings.Replace(uploadHead, "1.1", "3.0", 1) + length + "\r\nabc" + embedded, []string{"505 HTTP Version Not Supported"}, nil},
+		"that an unknown expectation holds back": {uploadHead + "Expect: tea\r\n" + length + "\r\n", []string{"417 Expectation Failed", "Connection: close"}, nil},
+		"that is not in by the call's deadline":  {uploadHead + "Remaining: 50ms\r\n" + length + "\r\nab", []string{"408 Request Timeout", "Connection: close"}, nil},
 	} {
 		It(name, func() {
 			tr := newRoutedTestReceiver()
@@ -84,6 +85,25 @@
 			}
 		}
 		wg.Wait()
+		Expect(tr.ids()).To(HaveLen(2*2*(len(uploadHead)+40)), "no call is handled twice")
+	})
+
+	It("that comes byte by byte behind another call is handled once, and whole", func() {
+		tr := newRoutedTestReceiver()
+		tr.do = respondWith(200)
+		conn, r := dialRouted(tr)
+		for _, body := range []string{length + "\r\nabc", chunks + "\r\n1;a\r\na\r\n2\r\nbc\r\n0\r\nD: e\r\n\r\n"} {
+			for _, b := range []byte(uploadHead + body) {
+				_, err := conn.Write([]byte{b})
+				Expect(err).NotTo(HaveOccurred())
+				time.Sleep(100 * time.Microsecond)
+			}
+			Expect(expectResponse(conn, r, time.Second).StatusCode).To(Equal(200))
+		}
+		Expect(tr.ids()).To(Equal([]string{"first", "first"}))
+		for _, call := range tr.receivedCalls() {
+			Expect(string(call.Body)).To(Equal("abc"))
+		}
 	})
 
 	for name, part := range map[string]string{
@@ -128,6 +148,12 @@
 		}
 	}
 
+	It("is passed on at the product's own interface with the outcome ran", func() {
+		tr := newTestReceiver()
+		tr.respond = &dispatcher.Response{Outcome: dispatcher.Ran, Status: 503, Header: http.Header{"Retry-After": {"1"}}, Body: io.NopCloser(strings.NewReader("x"))}
+		Expect(tr.sendRaw("PUT /call/s/x"+head+"Content-Length: 0\r\n\r\n", promptly)).To(And(HavePrefix("HTTP/1.1 503 "), ContainSubstring("Peridot-Outcome: ran\r\n")))
+	})
+
 	It("is not given to a call whose handler fails after the call was sent", func() {
 		tr := newRoutedTestReceiver()
 		tr.do = func(context.Context, *dispatcher.Call) (*dispatcher.Response, error) { panic(http.ErrAbortHandler) }
--- a/peridot-entry/receiver/receiver_test.go
+++ b/peridot-entry/receiver/receiver_test.go
@@ -45,6 +45,8 @@
 	mu      sync.Mutex
 	calls   []*dispatcher.Call
 	traces  []*tracer.Trace
+	// respond is the response to all calls; nil for an echo.
+	respond *dispatcher.Response
 }
 
 func newTestReceiver() *testReceiver {
@@ -76,6 +78,9 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	tr.calls = append(tr.calls, c)
+	if tr.respond != nil {
+		return tr.respond, nil
+	}
 	return &dispatcher.Response{
 		Outcome: dispatcher.Ran,
 		Status:  http.StatusOK,
