receiver: a stop refuses the calls whose bodies are still coming

A caller whose upload was still coming when its entry stopped got no response: the entry read on until the call's deadline or its own end. Nothing of such a call has been sent, so that another entry could have run it.

Cause: the stop ends the calls in the dispatcher only, 100 ms before the end; a call whose body is being read isn't there yet.

At that moment the receiver now ends the reads of all bodies and answers 503 with Retry-After and Connection: close.

Evidence: the spec of two uploads, one that is cut and one that has just got its 100 Continue, ends with an i/o timeout in place of a response without the change, and passes with it, three times with -race. Not tried with whole processes.

--- a/peridot-entry/receiver/call.go
+++ b/peridot-entry/receiver/call.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -27,6 +28,9 @@
 
 func (e *statusError) Error() string { return e.message }
 
+// errEnding refuses a call whose body was not complete when the entry stopped.
+var errEnding = &statusError{http.StatusServiceUnavailable, "this entry is stopping"}
+
 // handleCall forwards a call to a backend server of the service that its path names.
 func (r *Receiver) handleCall(w http.ResponseWriter, req *http.Request) {
 	begin := time.Now()
@@ -103,15 +107,15 @@
 	}
 	c.Header = endToEnd(req.Header)
 	var err error
-	if c.Body, err = readBody(w, req, c.Deadline, maxBodyBytes); err != nil {
+	if c.Body, err = r.readBody(w, req, c.Deadline, maxBodyBytes); err != nil {
 		return nil, err
 	}
 	c.Trace = &tracer.Trace{RequestID: c.RequestID, Service: service, Method: c.Method, Path: path, Begin: begin}
 	return c, nil
 }
 
-// readBody reads the whole body of a call of up to limit bytes. It fails at the call's deadline.
-func readBody(w http.ResponseWriter, req *http.Request, deadline time.Time, limit int64) ([]byte, error) {
+// readBody reads the whole body of a call of up to limit bytes. It fails at the call's deadline and when EndBodies is called.
+func (r *Receiver) readBody(w http.ResponseWriter, req *http.Request, deadline time.Time, limit int64) ([]byte, error) {
 	if req.Body == http.NoBody {
 		return nil, nil
 	}
@@ -119,7 +123,11 @@
 	if err := rc.SetReadDeadline(deadline); err != nil {
 		return nil, errors.WithMessage(err, "bound the time to read the body")
 	}
+	goOn := context.AfterFunc(r.ending, func() { _ = rc.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limit))
+	if !goOn() {
+		err = errEnding
+	}
 	if err != nil {
 		// The unread part of the body must not be parsed as another request.
 		w.Header().Set("Connection", "close")
@@ -128,6 +136,8 @@
 	switch {
 	case err == nil:
 		return body, errors.WithMessage(rc.SetReadDeadline(time.Time{}), "read the body")
+	case errors.Is(err, errEnding):
+		return nil, errEnding
 	case errors.As(err, &tooLarge):
 		return nil, &statusError{http.StatusRequestEntityTooLarge, "the body is over " + strconv.FormatInt(limit, 10) + " bytes"}
 	case errors.Is(err, bounder.ErrFull):
--- a/peridot-entry/receiver/receiver.go
+++ b/peridot-entry/receiver/receiver.go
@@ -77,11 +77,15 @@
 	initWaiters atomic.Int32
 	// waitEstimator estimates how long callers had waited before they sent a routed call.
 	waitEstimator estimator.Estimator
+	// ending is canceled by EndBodies.
+	ending    context.Context
+	endBodies context.CancelFunc
 }
 
 // New starts serving on cfg.Listener; Close stops it.
 func New(cfg Config) *Receiver {
 	r := &Receiver{cfg: cfg}
+	r.ending, r.endBodies = context.WithCancel(context.Background())
 	r.srv = server.New(server.Config{
 		Listener: cfg.Listener, Handler: http.HandlerFunc(r.serveHTTP),
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -100,6 +104,10 @@
 	return admitter.Timeouts{Header: min(l.HeaderTimeout.Std(), maxRoutedTimeout), Idle: min(l.IdleTimeout.Std(), maxRoutedTimeout)}
 }
 
+// EndBodies refuses all calls whose body isn't complete, also those that arrive later, so that their callers get a response before the entry
+// closes their connections.
+func (r *Receiver) EndBodies() { r.endBodies() }
+
 // Close stops accepting connections and waits for the calls in flight until ctx ends.
 func (r *Receiver) Close(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessage(err, "stop receiver") }()
--- a/peridot-entry/receiver/refusal_test.go
+++ b/peridot-entry/receiver/refusal_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"peridotswitch.example/common/parser"
 	"peridotswitch.example/peridot-entry/dispatcher"
 )
 
@@ -154,6 +155,31 @@
 		Expect(tr.ids()).To(BeEmpty())
 	})
 
+	// Guards against callers without a response at the stop of an entry, because their bodies are late.
+	It("whose body isn't complete when the entry ends its calls gets its response at once", func() {
+		tr := newRoutedTestReceiver()
+		tr.cfg.Load().Routing.Routes[0].Timeout = parser.Duration(10 * time.Second)
+		tr.do = respondWith(200)
+		conns, readers := make([]net.Conn, 2), make([]*bufio.Reader, 2)
+		for i, begin := range []string{"Content-Length: 3\r\n\r\nab", "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n"} {
+			conns[i], readers[i] = dialRouted(tr)
+			_, err := io.WriteString(conns[i], uploadHead+"Remaining: 10s\r\n"+begin)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		// Both bodies are being read once the second caller is asked for its own.
+		Expect(readers[1].ReadString('\n')).To(HavePrefix("HTTP/1.1 100 "))
+		Expect(readers[1].ReadString('\n')).To(Equal("\r\n"))
+		tr.receiver.EndBodies()
+		for i, conn := range conns {
+			res := expectResponse(conn, readers[i], promptly)
+			Expect(res.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			Expect(res.Close).To(BeTrue())
+			Expect(res.Header.Get("Retry-After")).NotTo(BeEmpty())
+		}
+		Expect(tr.lastTrace().Cause).To(Equal("stopping"))
+		Expect(tr.ids()).To(BeEmpty())
+	})
+
 	It("whose body has arrived leaves its connection to the calls that follow", func() {
 		tr := newRoutedTestReceiver()
 		tr.do = respondWith(200)
--- a/peridot-entry/receiver/routed.go
+++ b/peridot-entry/receiver/routed.go
@@ -252,9 +252,12 @@
 		limit = min(limit, n)
 	}
 	var err error
-	if c.Body, err = readBody(w, req, c.Deadline, limit); err == nil {
+	if c.Body, err = r.readBody(w, req, c.Deadline, limit); err == nil {
 		return nil
 	}
+	if errors.Is(err, errEnding) {
+		return &refusal{errEnding.status, "stopping", errEnding.message, minRetryAfter}
+	}
 	var se *statusError
 	if errors.As(err, &se) && se.status == http.StatusServiceUnavailable {
 		return &refusal{se.status, "entry-memory", se.message, bodyMemoryRetryAfter}
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -147,7 +147,10 @@
 		ReplaceLost:     true,
 		OnLost:          s.newLostRecorder(),
 	})
-	s.endCalls = d.Stop
+	s.endCalls = func() {
+		s.receiver.EndBodies()
+		d.Stop()
+	}
 	s.serve(callers, operators, d)
 	cfg.Log.Info().Str("listen", cfg.Listen).Str("operator-listen", cfg.OperatorListen).Msg("entry started")
 	return s, nil
--- a/peridot-entry/supervisor/supervisor.go
+++ b/peridot-entry/supervisor/supervisor.go
@@ -117,7 +117,10 @@
 		RunAtMostOnce: s.orderer.Do,
 		StopAt:        s.stopTime.get,
 	})
-	s.endCalls = d.Stop
+	s.endCalls = func() {
+		s.receiver.EndBodies()
+		d.Stop()
+	}
 	s.receiver = receiver.New(receiver.Config{
 		Listener:      l.callers,
 		Configuration: s.follower.Current,
