--- a/peridot-entry/receiver/call.go
+++ b/peridot-entry/receiver/call.go
@@ -40,13 +40,7 @@
 		if !errors.As(err, &se) {
 			se = &statusError{http.StatusBadRequest, err.Error()}
 		}
-		outcome := dispatcher.NotRun
-		if req.Header.Get("Idempotency-Key") != "" {
-			// An earlier send of the key may have run; only the claim would tell.
-			outcome = dispatcher.Unknown
-			w.Header().Set("Peridot-Send-Outcome", string(dispatcher.NotRun))
-		}
-		w.Header().Set("Peridot-Outcome", string(outcome))
+		w.Header().Set("Peridot-Outcome", string(dispatcher.NotRun))
 		if se.status == http.StatusServiceUnavailable {
 			w.Header().Set("Retry-After", formatSeconds(bodyMemoryRetryAfter))
 		}
--- a/peridot-entry/receiver/receiver_test.go
+++ b/peridot-entry/receiver/receiver_test.go
@@ -42,11 +42,11 @@
 // testReceiver is a receiver with a fake dispatcher that records calls and echoes their bodies.
 type testReceiver struct {
 	address string
+	// respond is the response to all calls; nil for an echo.
+	respond *dispatcher.Response
 	mu      sync.Mutex
 	calls   []*dispatcher.Call
 	traces  []*tracer.Trace
-	// respond is the response to all calls; nil for an echo.
-	respond *dispatcher.Response
 }
 
 func newTestReceiver() *testReceiver {
