--- a/peridot-entry/receiver/receiver_test.go
+++ b/peridot-entry/receiver/receiver_test.go
@@ -42,6 +42,8 @@
 // testReceiver is a receiver with a fake dispatcher that records calls and echoes their bodies.
 type testReceiver struct {
 	address string
+	// respond is the response to all calls; nil for an echo.
+	respond *dispatcher.Response
 	mu      sync.Mutex
 	calls   []*dispatcher.Call
 	traces  []*tracer.Trace
@@ -76,6 +78,9 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	tr.calls = append(tr.calls, c)
+	if tr.respond != nil {
+		return tr.respond, nil
+	}
 	return &dispatcher.Response{
 		Outcome: dispatcher.Ran,
 		Status:  http.StatusOK,
--- a/peridot-entry/receiver/routed.go
+++ b/peridot-entry/receiver/routed.go
@@ -71,9 +71,6 @@
 // handleRoutedCall forwards a call to a backend server of the service that the route for its host and path selects.
 func (r *Receiver) handleRoutedCall(w http.ResponseWriter, req *http.Request) {
 	begin := time.Now()
-	if len(req.TransferEncoding) > 0 && req.Header.Get("Content-Length") != "" {
-		w.Header().Set("Connection", "close")
-	}
 	if r.cfg.IsRefusing != nil && r.cfg.IsRefusing() {
 		r.refuse(w, req, nil, begin, 0, &refusal{http.StatusServiceUnavailable, "stopping", "this entry is stopping", minRetryAfter})
 		return
@@ -259,11 +256,14 @@
 	setCallerTrace(c.Trace, req)
 	begin := time.Now()
 	var err error
-	c.Body, err = readBody(w, req, c.Deadline, limit)
+	c.Body, err = r.readBody(w, req, c.Deadline, limit)
 	c.Trace.Body, c.Trace.BodyBytes = time.Since(begin), len(c.Body)
 	if err == nil {
 		return nil
 	}
+	if errors.Is(err, errEnding) {
+		return &refusal{errEnding.status, "stopping", errEnding.message, minRetryAfter}
+	}
 	var se *statusError
 	if errors.As(err, &se) && se.status == http.StatusServiceUnavailable {
 		return &refusal{se.status, "entry-memory", se.message, bodyMemoryRetryAfter}
