dispatcher: a hedge takes the permit of an attempt that has failed

What callers would see: a service's limit that shrinks by one for each such call, until its calls are refused at a limit that nothing uses. No entry is affected so far: ReplaceLost is set in routed entries alone, whose rules have no hedges.

Cause: an attempt that fails while another is in flight leaves its permit to the call. replaceLost takes that one for its attempt; hedge overwrote it with a new one, so that nobody released the first.

Change: one function starts an extra attempt for both.

The test's failure before: "7 permits are free after the call, want 8".

--- a/peridot-entry/dispatcher/execution.go
+++ b/peridot-entry/dispatcher/execution.go
@@ -385,15 +385,24 @@
 	if len(x.pending) != 1 || x.attemptCount >= x.call.Rule.Attempts {
 		return
 	}
-	permit, ok := x.d.cfg.TryAcquire(x.call.limiterRequest())
-	if !ok {
-		return
+	x.startExtra(ctx, true)
+}
+
+// startExtra starts another attempt while one is in flight, if the limiter and the budget allow it at once, and reports whether it has. The
+// attempt takes the permit of one that has failed, if there is one. hedge is whether the budget of hedges counts, too.
+func (x *execution) startExtra(ctx context.Context, hedge bool) bool {
+	if x.permit == nil {
+		permit, ok := x.d.cfg.TryAcquire(x.call.limiterRequest())
+		if !ok {
+			return false
+		}
+		x.permit = permit
 	}
-	x.permit = permit
-	if x.service.budget.withdraw(true) && x.startAttempt(ctx, true) == nil {
-		return
+	if x.service.budget.withdraw(hedge) && x.startAttempt(ctx, true) == nil {
+		return true
 	}
 	x.releasePermit(false)
+	return false
 }
 
 // finish returns the response of a and cancels the other attempts.
--- a/peridot-entry/dispatcher/lost.go
+++ b/peridot-entry/dispatcher/lost.go
@@ -61,16 +61,5 @@
 	if !x.mayRerun() || x.attemptCount >= x.call.Rule.Attempts || ctx.Err() != nil {
 		return false
 	}
-	if x.permit == nil {
-		permit, ok := x.d.cfg.TryAcquire(x.call.limiterRequest())
-		if !ok {
-			return false
-		}
-		x.permit = permit
-	}
-	if x.service.budget.withdraw(false) && x.startAttempt(ctx, true) == nil {
-		return true
-	}
-	x.releasePermit(false)
-	return false
+	return x.startExtra(ctx, false)
 }
--- a/peridot-entry/dispatcher/lost_test.go
+++ b/peridot-entry/dispatcher/lost_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -177,3 +178,46 @@
 	}
 	return n
 }
+
+// Guards against a permit that is never released: the first attempt fails after it was replaced, and its permit is left for the next attempt when
+// the call hedges.
+func TestHedgeAfterALostAttemptReleasesItsPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots, objective = 8, 50 * time.Millisecond
+		servers := make([]registrar.Server, 4)
+		for i := range servers {
+			servers[i] = registrar.Server{Service: "s", InstanceID: fmt.Sprint(i), Slots: slots, Connections: 250, State: registrar.Ready}
+		}
+		limits := limiter.New(limiter.Config{Capacity: func(string) limiter.Capacity { return limiter.Capacity{Slots: slots, Entries: 1} }})
+		var sends atomic.Int32
+		d := New(Config{
+			Acquire: limits.Acquire, TryAcquire: limits.TryAcquire, ReplaceLost: true,
+			Pick: picker.New(picker.Config{Servers: func(string) []registrar.Server { return servers }}).Pick,
+			Send: func(ctx context.Context, r *sender.Request) (*sender.Response, error) {
+				switch sends.Add(1) {
+				case 1:
+					time.Sleep(objective + 10*time.Millisecond)
+					return failSend(true)(ctx, r)
+				case 2:
+					return blockUntilCanceled(ctx, r)
+				}
+				return respond(http.StatusOK)(ctx, r)
+			},
+		})
+		c := newCall(parser.Idempotent)
+		c.Rule.Objective, c.Rule.RetryShare, c.Rule.HedgeShare = parser.Duration(objective), 1, 1
+		for range minSamples {
+			d.service("s").latency.observe(objective + 20*time.Millisecond)
+			d.service("s").budget.deposit(1, 1, defaultBurst)
+		}
+		res, err := d.Do(context.Background(), c)
+		if err != nil || sends.Load() != 3 {
+			t.Fatalf("error %v after %d sends, want a response to the third", err, sends.Load())
+		}
+		res.Body.Close()
+		synctest.Wait()
+		if free := countFree(limits, c.limiterRequest()); free != slots {
+			t.Errorf("%d permits are free after the call, want %d", free, slots)
+		}
+	})
+}
