dispatcher: a call that ends while a server is chosen is not sent

What callers saw: a call whose deadline passed, or whose entry stopped, while it waited for a probe's result was sent all the same. It ended with 504 or 502, which promise nothing, where nothing had been sent before and a refusal would have been true; and a server could run it for nobody. The same held for a call whose caller had left, and for a hedge whose call had its response by then.

Cause: after the wait for a permit the context of the call was checked, after the wait for a server only its key. An attempt that may run once has a context of its own, which doesn't end with the caller's.

Change: the context is checked once a server is chosen, and that of the attempt before it is sent. An extra attempt isn't begun for a call that has ended. An attempt that was ended before it was sent is no evidence against its server.

--- a/peridot-entry/dispatcher/attempt.go
+++ b/peridot-entry/dispatcher/attempt.go
@@ -36,8 +36,12 @@
 	latency  time.Duration
 }
 
-// send sends the request and sets response or err.
+// send sends the request, unless the call has ended since the server was picked, and sets response or err.
 func (a *attempt) send(ctx context.Context, d *Dispatcher, req *sender.Request, s *serviceState) {
+	if err := ctx.Err(); err != nil {
+		a.fail(ctx, req, &sender.Error{Phase: sender.Connecting, Err: err}, picker.Result{Canceled: true}, s)
+		return
+	}
 	res, err := d.cfg.Send(ctx, req)
 	if err != nil {
 		var se *sender.Error
@@ -97,7 +101,7 @@
 	r.Unreachable = r.Unreachable || se != nil && se.Phase == sender.Connecting && se.Unreachable
 	// A timeout before the 95th percentile of the latency is no evidence against the server, so that it counts as a cancellation.
 	p95, _ := s.latency.value()
-	r.Canceled = errors.Is(ctx.Err(), context.Canceled) || ctx.Err() != nil && r.Latency < p95 || isContained(err) || errors.Is(err, picker.ErrEvacuated)
+	r.Canceled = r.Canceled || errors.Is(ctx.Err(), context.Canceled) || ctx.Err() != nil && r.Latency < p95 || isContained(err) || errors.Is(err, picker.ErrEvacuated)
 	r.Silent = ctx.Err() != nil && se != nil && se.Phase == sender.Waiting
 	a.choice.Done(r)
 	a.cancel()
--- a/peridot-entry/dispatcher/execution.go
+++ b/peridot-entry/dispatcher/execution.go
@@ -155,13 +155,13 @@
 			return nil, err
 		}
 		choice, err := x.probeAndPick(ctx, allowFaulty)
-		if err == nil && x.isRevoked() {
+		if err == nil {
+			if err = x.checkStillWanted(ctx); err == nil {
+				return choice, nil
+			}
 			choice.Done(picker.Result{Canceled: true})
 			x.releasePermit(false)
-			return nil, errRevoked
-		}
-		if err == nil {
-			return choice, nil
+			return nil, err
 		}
 		if errors.Is(err, picker.ErrFull) && x.waitForSlot(ctx) {
 			continue
@@ -200,6 +200,14 @@
 	return err
 }
 
+// checkStillWanted returns an error if the call must not be sent any more after a wait.
+func (x *execution) checkStillWanted(ctx context.Context) error {
+	if x.isRevoked() {
+		return errRevoked
+	}
+	return ctx.Err()
+}
+
 // isRevoked reports whether the key of the call has been withdrawn.
 func (x *execution) isRevoked() bool { return x.call.IsRevoked != nil && x.call.IsRevoked() }
 
@@ -391,6 +399,9 @@
 // startExtra starts another attempt while one is in flight, if the limiter and the budget allow it at once, and reports whether it has. The
 // attempt takes the permit of one that has failed, if there is one. hedge is whether the budget of hedges counts, too.
 func (x *execution) startExtra(ctx context.Context, hedge bool) bool {
+	if ctx.Err() != nil {
+		return false
+	}
 	if x.permit == nil {
 		permit, ok := x.d.cfg.TryAcquire(x.call.limiterRequest())
 		if !ok {
--- a/peridot-entry/dispatcher/lost.go
+++ b/peridot-entry/dispatcher/lost.go
@@ -58,7 +58,7 @@
 
 // startReplacement starts another attempt while the first is in flight and reports whether it has.
 func (x *execution) startReplacement(ctx context.Context) bool {
-	if !x.mayRerun() || x.attemptCount >= x.call.Rule.Attempts || ctx.Err() != nil {
+	if !x.mayRerun() || x.attemptCount >= x.call.Rule.Attempts {
 		return false
 	}
 	return x.startExtra(ctx, false)
