dispatcher: Stop ends the attempts of callers that have left, too

What operators saw: an entry that stops waited for calls that may run once and whose callers had left, at most until their deadlines or the end of its time to stop; an attempt of theirs that still waited for its turn as a suspect was sent after the stop.

Cause: such an attempt doesn't end with the context of its call; the call cancels it at Stop. It waited for the end of the context to learn of Stop, and no longer did once the context had ended with the caller.

Change: once the context has ended, the call waits for Stop.

--- a/peridot-entry/dispatcher/execution.go
+++ b/peridot-entry/dispatcher/execution.go
@@ -79,8 +79,10 @@
 	for {
 		select {
 		case <-ended:
-			ended = nil
-			if isStopping(ctx, nil) {
+			// An attempt may outlast ctx, but not Stop.
+			ended = x.d.stop.Done()
+			if x.d.stop.Err() != nil {
+				ended = nil
 				x.cancelPending()
 			}
 		case <-hedge:
--- a/peridot-entry/dispatcher/stop_test.go
+++ b/peridot-entry/dispatcher/stop_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -145,3 +146,28 @@
 		t.Errorf("after the stop: %v, cause %q, want a refusal", err, c.Trace.Cause)
 	}
 }
+
+// Guards against an entry that waits at its stop for calls whose callers have left: an attempt that may run once outlasts its caller.
+func TestStopEndsCallsWithoutCallers(t *testing.T) {
+	for _, repeat := range []parser.Repeat{parser.Idempotent, parser.OncePerSend, parser.AtMostOnce} {
+		t.Run(string(repeat), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d, _, _ := newTestDispatcher(blockUntilCanceled)
+				c := newCall(repeat)
+				outlastCaller(d, c)
+				ctx, leave := context.WithCancel(context.Background())
+				time.AfterFunc(10*time.Millisecond, leave)
+				time.AfterFunc(50*time.Millisecond, d.Stop)
+				begin := time.Now()
+				_, err := d.Do(ctx, c)
+				var e *Error
+				if !errors.As(err, &e) || e.Outcome != Unknown {
+					t.Errorf("error is %+v, want %v", err, Unknown)
+				}
+				if took := time.Since(begin); took > 50*time.Millisecond {
+					t.Errorf("ended %v after its begin", took)
+				}
+			})
+		})
+	}
+}
