receiver: the rejection of a resent order says nothing of its earlier sends

What callers saw: an order was sent, its outcome was unknown, and the resend was rejected with `Peridot-Outcome: not-run`, which means that the call has not run and never will, by an entry whose configuration nobody confirmed, or with 400, 404, 408 or 413. A caller that believes that gives up the key and orders once more.

Cause: the receiver set that outcome for all calls that it rejects before it forwards them. What the outcome of a call with a key covers, all sends of the key, was only known behind it, in the orderer, which says `unknown` with `Peridot-Send-Outcome: not-run`.

Change: the receiver says the same of a call with a key, unless it knows by a confirmed configuration that the call is not at-most-once.

The test's failure before: six of nine cases.

--- a/peridot-entry/receiver/call.go
+++ b/peridot-entry/receiver/call.go
@@ -41,7 +41,7 @@
 		if !errors.As(err, &se) {
 			se = &statusError{http.StatusBadRequest, err.Error()}
 		}
-		w.Header().Set("Peridot-Outcome", string(dispatcher.NotRun))
+		r.setRefusedOutcome(w.Header(), req)
 		if se.status == http.StatusServiceUnavailable {
 			w.Header().Set("Retry-After", formatSeconds(bodyMemoryRetryAfter))
 		}
@@ -65,6 +65,39 @@
 	r.writeResponse(w, c, res)
 }
 
+// setRefusedOutcome sets the outcome of a call that is rejected before it is forwarded. An earlier send of an at-most-once call may have run.
+func (r *Receiver) setRefusedOutcome(h http.Header, req *http.Request) {
+	if req.Header.Get("Idempotency-Key") == "" || !r.mayBeAtMostOnce(req) {
+		h.Set("Peridot-Outcome", string(dispatcher.NotRun))
+		return
+	}
+	h.Set("Peridot-Outcome", string(dispatcher.Unknown))
+	h.Set("Peridot-Send-Outcome", string(dispatcher.NotRun))
+}
+
+// mayBeAtMostOnce reports whether a call is, or may be by a configuration that this entry doesn't have, an at-most-once call.
+func (r *Receiver) mayBeAtMostOnce(req *http.Request) bool {
+	cfg := r.cfg.Configuration()
+	if cfg == nil || !r.cfg.CanServe() {
+		return true
+	}
+	service, _ := splitCallPath(req)
+	if cfg.Inventory.Service(service) == nil {
+		return true
+	}
+	return matchRule(cfg, service, req).Repeat == parser.AtMostOnce
+}
+
+// splitCallPath returns the service that the path of a call names and the escaped rest of the path.
+func splitCallPath(req *http.Request) (service, rest string) {
+	service, rest, _ = strings.Cut(strings.TrimPrefix(req.URL.EscapedPath(), callPrefix), "/")
+	return service, rest
+}
+
+func matchRule(cfg *parser.Configuration, service string, req *http.Request) parser.Rule {
+	return cfg.Rules.Match(service, req.Method, strings.TrimPrefix(req.URL.Path, callPrefix+service))
+}
+
 func (r *Receiver) parseCall(w http.ResponseWriter, req *http.Request, begin time.Time) (*dispatcher.Call, error) {
 	cfg := r.cfg.Configuration()
 	if cfg == nil {
@@ -73,7 +106,7 @@
 	if !r.cfg.CanServe() {
 		return nil, &statusError{http.StatusServiceUnavailable, "this entry can't tell whether its configuration is the newest"}
 	}
-	service, rest, _ := strings.Cut(strings.TrimPrefix(req.URL.EscapedPath(), callPrefix), "/")
+	service, rest := splitCallPath(req)
 	if cfg.Inventory.Service(service) == nil {
 		return nil, &statusError{http.StatusNotFound, "no service " + strconv.Quote(service)}
 	}
@@ -83,7 +116,7 @@
 		Service:        service,
 		Method:         req.Method,
 		Path:           path,
-		Rule:           cfg.Rules.Match(service, req.Method, strings.TrimPrefix(req.URL.Path, callPrefix+service)),
+		Rule:           matchRule(cfg, service, req),
 		IdempotencyKey: req.Header.Get("Idempotency-Key"),
 	}
 	if c.RequestID == "" {
--- a/peridot-entry/receiver/receiver_test.go
+++ b/peridot-entry/receiver/receiver_test.go
@@ -45,6 +45,8 @@
 	mu      sync.Mutex
 	calls   []*dispatcher.Call
 	traces  []*tracer.Trace
+	// unconfirmed is whether nobody confirms that the configuration is the newest.
+	unconfirmed bool
 }
 
 func newTestReceiver() *testReceiver {
@@ -57,7 +59,7 @@
 		Listener:      l,
 		Configuration: func() *parser.Configuration { return cfg },
 		Entries:       func() []*delivererpb.EntryMember { return nil },
-		CanServe:      func() bool { return true },
+		CanServe:      func() bool { return !tr.unconfirmed },
 		IsStopping:    func() bool { return false },
 		Do:            tr.do,
 		Announce:      func(registrar.Server) time.Duration { return time.Second },
@@ -166,6 +168,35 @@
 	})
 })
 
+// Guards against callers that give up a key, and order once more, because they are told that no send of the order has run, when only the last
+// one has not.
+var _ = Describe("a call that is rejected", func() {
+	for name, c := range map[string]struct {
+		send                 string
+		unconfirmed          bool
+		outcome, sendOutcome string
+	}{
+		"an order with an unconfirmed configuration":           {"POST /call/s/orders" + head + "Idempotency-Key: k\r\n\r\n", true, "unknown", "not-run"},
+		"an order to an unknown service":                       {"POST /call/t/orders" + head + "Idempotency-Key: k\r\n\r\n", false, "unknown", "not-run"},
+		"an order with a malformed deadline":                   {"POST /call/s/orders" + head + "Idempotency-Key: k\r\nPeridot-Deadline-Ms: soon\r\n\r\n", false, "unknown", "not-run"},
+		"an order whose body is late":                          {"POST /call/s/orders" + head + "Idempotency-Key: k\r\nContent-Length: 10\r\n\r\nabc", false, "unknown", "not-run"},
+		"an order whose body is too large":                     {"POST /call/s/orders" + head + "Idempotency-Key: k\r\nContent-Length: 1048577\r\n\r\n" + strings.Repeat("x", 1048577), false, "unknown", "not-run"},
+		"an order without a key":                               {"POST /call/s/orders" + head + "\r\n", false, "not-run", ""},
+		"another call with a key and a malformed deadline":     {"GET /call/s/x" + head + "Idempotency-Key: k\r\nPeridot-Deadline-Ms: soon\r\n\r\n", false, "not-run", ""},
+		"another call without a key, unconfirmed":              {"GET /call/s/x" + head + "\r\n", true, "not-run", ""},
+		"another call with a key, by a rule that may be older": {"GET /call/s/x" + head + "Idempotency-Key: k\r\n\r\n", true, "unknown", "not-run"},
+	} {
+		It("gets the outcome of all its sends: "+name, func() {
+			tr := newTestReceiver()
+			tr.unconfirmed = c.unconfirmed
+			res, err := http.ReadResponse(bufio.NewReader(strings.NewReader(tr.sendRaw(c.send, 600*time.Millisecond))), nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(tr.receivedCalls()).To(BeEmpty())
+			Expect([]string{res.Header.Get("Peridot-Outcome"), res.Header.Get("Peridot-Send-Outcome")}).To(Equal([]string{c.outcome, c.sendOutcome}))
+		})
+	}
+})
+
 var _ = Describe("a call", func() {
 	It("has only end-to-end headers forwarded both ways, and a chunked body without its trailer", func() {
 		tr := newTestReceiver()
