claimer: a key is another call's only once that call's claim is decided

What callers could see: an order's key is used for another call by mistake, a resend of the order gets 422 `not-run`, which holds for all sends of the order, and then an earlier send of it, still under way, is run.

Cause: a resend that finds a value that may have been decided, of another call, returned it without deciding it. An earlier send of its own call that had been accepted at one replica could still win the key with another majority, in which no value may have been decided.

Evidence: by reading, then the test: claims of both calls split the fast ballot one to two, the resend asks the two, the first send one of each.

Change: the value of another call is proposed once more, and returned when a majority has accepted it. One that is settled as ran or unknown is returned at once: its claim was decided. A mismatched send takes a round more.

The test's failure before: "the first send got a claim after the resend was told that the key is another call's".

--- a/peridot-entry/claimer/claim.go
+++ b/peridot-entry/claimer/claim.go
@@ -1,6 +1,7 @@
 package claimer
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -36,7 +37,8 @@
 	sent bool
 }
 
-// Claim tries to claim a key. When the key can't be claimed because of another claim, it returns that claim's value and a nil Claim.
+// Claim tries to claim a key. When the key can't be claimed because of another claim, it returns that claim's value and a nil Claim. The value
+// need not be decided, unless it is of another call: that decides that the key is never this call's.
 //
 // An error is ErrExpired, ErrFull or ErrNoQuorum; the Claim returned with it must be abandoned.
 func (c *Claimer) Claim(ctx context.Context, req Request) (cl *Claim, other *claimerpb.Value, err error) {
@@ -63,25 +65,35 @@
 		switch state := decider.State(cur.GetState()); {
 		case cur.GetToken() == token:
 			return cur
+		case cur != nil && !bytes.Equal(cur.Fingerprint, own.Fingerprint):
+			return undecided(cur)
 		case state.CanClaim():
 			return claimAfter(own, cur)
 		}
 		return nil
 	})
-	if other != nil {
+	switch {
+	case other != nil:
 		return nil, other, nil
+	case err == nil && cl.value.Token != token:
+		return nil, cl.value, nil
 	}
 	return cl, nil, err
 }
 
-// claimAfter returns own as the claim that follows cur, which may be nil. It returns nil when cur belongs to another call with the same key.
+// undecided returns a value of another call if its claim need not be decided, and nil otherwise: only a decided claim is settled as ran or unknown.
+func undecided(cur *claimerpb.Value) *claimerpb.Value {
+	if cur.State == claimerpb.State_STATE_RAN || cur.State == claimerpb.State_STATE_UNKNOWN {
+		return nil
+	}
+	return cur
+}
+
+// claimAfter returns own as the claim that follows cur, which may be nil and is of the same call.
 func claimAfter(own, cur *claimerpb.Value) *claimerpb.Value {
 	if cur == nil {
 		return own
 	}
-	if string(cur.Fingerprint) != string(own.Fingerprint) {
-		return nil
-	}
 	next := proto.CloneOf(own)
 	next.Claim, next.IssuedAtMs = cur.Claim+1, cur.IssuedAtMs
 	return next
