--- a/peridot-entry/dispatcher/execution.go
+++ b/peridot-entry/dispatcher/execution.go
@@ -43,15 +43,18 @@
 	results chan *attempt
 
 	// permit is set only between two attempts; during an attempt, the attempt holds it.
-	permit       *limiter.Permit
-	tried        []registrar.Key
-	pending      []*attempt
-	attemptCount int
-	shedCount    int
-	slotWaits    int
-	fallback     *attempt
-	outcome      Outcome
-	lastErr      error
+	permit *limiter.Permit
+	tried  []registrar.Key
+	// triedAddresses are the addresses of tried. Servers may write a response twice, and all attempts of a call have its id: at an address to
+	// which the call went before, a late copy could be taken for the response to the second attempt.
+	triedAddresses []string
+	pending        []*attempt
+	attemptCount   int
+	shedCount      int
+	slotWaits      int
+	fallback       *attempt
+	outcome        Outcome
+	lastErr        error
 
 	// fair counts the call among those of its account; nil for a call without a latency objective and for a deferrable one. draw is its
 	// random number from 0 to 1. yielding is whether the last pick left room to other calls.
@@ -79,8 +82,10 @@
 	for {
 		select {
 		case <-ended:
-			ended = nil
-			if isStopping(ctx, nil) {
+			// An attempt may outlast ctx, but not Stop.
+			ended = x.d.stop.Done()
+			if x.d.stop.Err() != nil {
+				ended = nil
 				x.cancelPending()
 			}
 		case <-hedge:
@@ -120,7 +125,8 @@
 		return err
 	}
 	x.attemptCount++
-	x.tried = append(x.tried, registrar.Key{Service: choice.Server.Service, InstanceID: choice.Server.InstanceID})
+	x.tried = append(x.tried, choice.Server.Key())
+	x.triedAddresses = append(x.triedAddresses, choice.Server.Address)
 	a := &attempt{n: x.attemptCount, begin: time.Now(), choice: choice, permit: x.permit, shedCount: x.shedCount}
 	x.permit = nil
 	a.trace = tracer.Attempt{
@@ -155,13 +161,13 @@
 			return nil, err
 		}
 		choice, err := x.probeAndPick(ctx, allowFaulty)
-		if err == nil && x.isRevoked() {
+		if err == nil {
+			if err = x.checkStillWanted(ctx); err == nil {
+				return choice, nil
+			}
 			choice.Done(picker.Result{Canceled: true})
 			x.releasePermit(false)
-			return nil, errRevoked
-		}
-		if err == nil {
-			return choice, nil
+			return nil, err
 		}
 		if errors.Is(err, picker.ErrFull) && x.waitForSlot(ctx) {
 			continue
@@ -200,6 +206,14 @@
 	return err
 }
 
+// checkStillWanted returns an error if the call must not be sent any more after a wait.
+func (x *execution) checkStillWanted(ctx context.Context) error {
+	if x.isRevoked() {
+		return errRevoked
+	}
+	return ctx.Err()
+}
+
 // isRevoked reports whether the key of the call has been withdrawn.
 func (x *execution) isRevoked() bool { return x.call.IsRevoked != nil && x.call.IsRevoked() }
 
@@ -221,16 +235,17 @@
 func (x *execution) probeAndPick(ctx context.Context, allowFaulty bool) (*picker.Choice, error) {
 	x.updateYielding(time.Now())
 	req := picker.Request{
-		Service:     x.call.Service,
-		Exclude:     x.tried,
-		Deferrable:  x.call.Rule.Priority == parser.Deferrable,
-		NoTrial:     x.call.Rule.IsOnce(),
-		Rank:        x.call.Rule.Rank,
-		Late:        x.mustYield(),
-		FastOnly:    x.wantsFastOnly(),
-		AllowFaulty: allowFaulty,
-		PreferZone:  x.call.Rule.PreferZone,
-		Slack:       x.call.slack(),
+		Service:          x.call.Service,
+		Exclude:          x.tried,
+		ExcludeAddresses: x.triedAddresses,
+		Deferrable:       x.call.Rule.Priority == parser.Deferrable,
+		NoTrial:          x.call.Rule.IsOnce(),
+		Rank:             x.call.Rule.Rank,
+		Late:             x.mustYield(),
+		FastOnly:         x.wantsFastOnly(),
+		AllowFaulty:      allowFaulty,
+		PreferZone:       x.call.Rule.PreferZone,
+		Slack:            x.call.slack(),
 	}
 	if x.d.cfg.Probe != nil {
 		req.Candidates = x.d.cfg.Probe(ctx, req)
@@ -403,15 +418,27 @@
 	if len(x.pending) != 1 || x.attemptCount >= x.call.Rule.Attempts {
 		return
 	}
-	permit, ok := x.d.cfg.TryAcquire(x.call.limiterRequest())
-	if !ok {
-		return
+	x.startExtra(ctx, true)
+}
+
+// startExtra starts another attempt while one is in flight, if the limiter and the budget allow it at once, and reports whether it has. The
+// attempt takes the permit of one that has failed, if there is one. hedge is whether the budget of hedges counts, too.
+func (x *execution) startExtra(ctx context.Context, hedge bool) bool {
+	if ctx.Err() != nil {
+		return false
 	}
-	x.permit = permit
-	if x.service.budget.withdraw(true) && x.startAttempt(ctx, true) == nil {
-		return
+	if x.permit == nil {
+		permit, ok := x.d.cfg.TryAcquire(x.call.limiterRequest())
+		if !ok {
+			return false
+		}
+		x.permit = permit
+	}
+	if x.service.budget.withdraw(hedge) && x.startAttempt(ctx, true) == nil {
+		return true
 	}
 	x.releasePermit(false)
+	return false
 }
 
 // finish returns the response of a and cancels the other attempts.
--- a/peridot-entry/dispatcher/lost.go
+++ b/peridot-entry/dispatcher/lost.go
@@ -58,19 +58,8 @@
 
 // startReplacement starts another attempt while the first is in flight and reports whether it has.
 func (x *execution) startReplacement(ctx context.Context) bool {
-	if !x.mayRerun() || x.attemptCount >= x.call.Rule.Attempts || ctx.Err() != nil {
+	if !x.mayRerun() || x.attemptCount >= x.call.Rule.Attempts {
 		return false
 	}
-	if x.permit == nil {
-		permit, ok := x.d.cfg.TryAcquire(x.call.limiterRequest())
-		if !ok {
-			return false
-		}
-		x.permit = permit
-	}
-	if x.service.budget.withdraw(false) && x.startAttempt(ctx, true) == nil {
-		return true
-	}
-	x.releasePermit(false)
-	return false
+	return x.startExtra(ctx, false)
 }
