dispatcher: a second attempt may go to the address of the first

Its fault, a copy of the first attempt's refusal that passes for the second's, is mended where a response is matched to its request: a connection carries a call once (sender). That covers callers that send an id again as well, and keeps a restarted server as a target.

--- a/peridot-entry/dispatcher/execution.go
+++ b/peridot-entry/dispatcher/execution.go
@@ -43,18 +43,15 @@
 	results chan *attempt
 
 	// permit is set only between two attempts; during an attempt, the attempt holds it.
-	permit *limiter.Permit
-	tried  []registrar.Key
-	// triedAddresses are the addresses of tried. Servers may write a response twice, and all attempts of a call have its id: at an address to
-	// which the call went before, a late copy could be taken for the response to the second attempt.
-	triedAddresses []string
-	pending        []*attempt
-	attemptCount   int
-	shedCount      int
-	slotWaits      int
-	fallback       *attempt
-	outcome        Outcome
-	lastErr        error
+	permit       *limiter.Permit
+	tried        []registrar.Key
+	pending      []*attempt
+	attemptCount int
+	shedCount    int
+	slotWaits    int
+	fallback     *attempt
+	outcome      Outcome
+	lastErr      error
 
 	// fair counts the call among those of its account; nil for a call without a latency objective and for a deferrable one. draw is its
 	// random number from 0 to 1. yielding is whether the last pick left room to other calls.
@@ -125,8 +122,7 @@
 		return err
 	}
 	x.attemptCount++
-	x.tried = append(x.tried, choice.Server.Key())
-	x.triedAddresses = append(x.triedAddresses, choice.Server.Address)
+	x.tried = append(x.tried, registrar.Key{Service: choice.Server.Service, InstanceID: choice.Server.InstanceID})
 	a := &attempt{n: x.attemptCount, begin: time.Now(), choice: choice, permit: x.permit, shedCount: x.shedCount}
 	x.permit = nil
 	a.trace = tracer.Attempt{
@@ -235,17 +231,16 @@
 func (x *execution) probeAndPick(ctx context.Context, allowFaulty bool) (*picker.Choice, error) {
 	x.updateYielding(time.Now())
 	req := picker.Request{
-		Service:          x.call.Service,
-		Exclude:          x.tried,
-		ExcludeAddresses: x.triedAddresses,
-		Deferrable:       x.call.Rule.Priority == parser.Deferrable,
-		NoTrial:          x.call.Rule.IsOnce(),
-		Rank:             x.call.Rule.Rank,
-		Late:             x.mustYield(),
-		FastOnly:         x.wantsFastOnly(),
-		AllowFaulty:      allowFaulty,
-		PreferZone:       x.call.Rule.PreferZone,
-		Slack:            x.call.slack(),
+		Service:     x.call.Service,
+		Exclude:     x.tried,
+		Deferrable:  x.call.Rule.Priority == parser.Deferrable,
+		NoTrial:     x.call.Rule.IsOnce(),
+		Rank:        x.call.Rule.Rank,
+		Late:        x.mustYield(),
+		FastOnly:    x.wantsFastOnly(),
+		AllowFaulty: allowFaulty,
+		PreferZone:  x.call.Rule.PreferZone,
+		Slack:       x.call.slack(),
 	}
 	if x.d.cfg.Probe != nil {
 		req.Candidates = x.d.cfg.Probe(ctx, req)
--- a/peridot-entry/picker/eligible.go
+++ b/peridot-entry/picker/eligible.go
@@ -121,7 +121,7 @@
 		if n == limit {
 			break
 		}
-		if r.excludes(s) && !s.isEjected() {
+		if contains(r.Exclude, s) && !s.isEjected() {
 			// It is one of the subset, although this request doesn't need it any more.
 			n++
 			continue
@@ -184,12 +184,7 @@
 
 // mayTakeUnpaused is mayTake for a server whose pause has ended.
 func mayTakeUnpaused(s *server, r *Request) bool {
-	return s.announced.State == registrar.Ready && !s.drains && !r.excludes(s)
-}
-
-// excludes reports whether an earlier attempt of the call went to a server or its address.
-func (r *Request) excludes(s *server) bool {
-	return contains(r.Exclude, s) || s.announced.Address != "" && slices.Contains(r.ExcludeAddresses, s.announced.Address)
+	return s.announced.State == registrar.Ready && !s.drains && !contains(r.Exclude, s)
 }
 
 // contains reports whether one of the keys has the instance id of s.
--- a/peridot-entry/picker/picker.go
+++ b/peridot-entry/picker/picker.go
@@ -31,8 +31,6 @@
 	Service string
 	// Exclude lists the backend servers that earlier attempts of the call went to.
 	Exclude []registrar.Key
-	// ExcludeAddresses lists their addresses, at which other servers may have started since.
-	ExcludeAddresses []string
 	// Deferrable limits the call to backend servers with at least reservedSlots free slots.
 	Deferrable bool
 	// NoTrial excludes ejected backend servers that are due for a trial call, while others may take the call; at-most-once calls set it.
