sender: an attempt that counts as not written is never written

What callers would see: a call that may run only once is sent to a second backend server, or refused as not run, while the first server gets its bytes.

Cause: a body over 8 KB is written in the background. When the read failed before that write had begun, the flag was read, and only then the connection closed; a write that began in between sent bytes of a call that counted as not written.

Evidence: the test below, with the time between the two made longer by a Close that takes 10 ms. Without it the window is some microseconds.

Change: the first write and the end of the exchange take one state in turn by compare-and-swap. If the end comes first, later writes fail.

TestNotWrittenMeansNeverWritten fails before in both cases of a write in the background: written_test.go:92: bytes were sent by an attempt that failed with wait: unexpected EOF and counts as not written Its cases with a write that has begun, or that precedes the read, held before and hold. After: 3 runs with -race.

--- a/peridot-entry/sender/conn.go
+++ b/peridot-entry/sender/conn.go
@@ -28,8 +28,10 @@
 	maxIdle time.Duration
 	// exchanges counts the requests that the connection was taken for, the current one included.
 	exchanges int
-	// wrote is set before the first byte of the current call may be sent, received once the first byte of its response has been read.
-	wrote    atomic.Bool
+	// sending tells whether bytes of the current call may have been sent. It leaves notSent once, so that a write and the end of the exchange,
+	// which may come at the same time, agree on it.
+	sending atomic.Int32
+	// received is true once the first byte of the response has been read.
 	received bool
 	// writeErr is the error of the current call's write.
 	writeErr error
@@ -39,15 +41,29 @@
 	headerBytesLeft int
 }
 
+// The values of conn.sending.
+const (
+	notSent int32 = iota
+	// mayBeSent is set before the first byte may be sent.
+	mayBeSent
+	// neverSent is set when the exchange ends before that; writes fail from then on.
+	neverSent
+)
+
+// errEnded is the error of a write that begins after the exchange has ended.
+var errEnded = errors.New("the call ended before its request was written")
+
 func newConn(c net.Conn, h *host, now time.Time) *conn {
 	pc := &conn{Conn: c, host: h, opened: now, lastResponse: now, maxIdle: defaultMaxIdle, headerBytesLeft: -1}
 	pc.reader, pc.writer = bufio.NewReader(pc), bufio.NewWriter(pc)
 	return pc
 }
 
-// Write implements net.Conn and records that bytes may have been sent.
+// Write implements net.Conn, and records that bytes may have been sent or fails if that was ruled out.
 func (c *conn) Write(p []byte) (int, error) {
-	c.wrote.Store(true)
+	if !c.sending.CompareAndSwap(notSent, mayBeSent) && c.sending.Load() == neverSent {
+		return 0, errEnded
+	}
 	n, err := c.Conn.Write(p)
 	if err != nil && c.writeErr == nil {
 		c.writeErr = err
@@ -80,7 +96,12 @@
 func (c *conn) beginExchange() {
 	c.exchanges++
 	c.received, c.writeErr = false, nil
-	c.wrote.Store(false)
+	c.sending.Store(notSent)
+}
+
+// endSending reports whether bytes of the current call may have been sent. If not, none will be.
+func (c *conn) endSending() bool {
+	return !c.sending.CompareAndSwap(notSent, neverSent) && c.sending.Load() == mayBeSent
 }
 
 // isIdleTooLong reports whether an idle connection is to be closed.
--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -202,7 +202,7 @@
 	if e.stop != nil {
 		e.stop()
 	}
-	out.Written = e.conn.wrote.Load()
+	out.Written = e.conn.endSending()
 	out.Exchange = e.conn.exchanges
 	if e.isSilent(ctx) {
 		e.conn.host.markSuspect(e.begin)
--- /dev/null
+++ b/peridot-entry/sender/written_test.go
@@ -0,0 +1,100 @@
+package sender
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// lateWriteConn is a connection whose server has gone away for reads, and whose Close leaves the write in the background the time to begin.
+type lateWriteConn struct {
+	*net.TCPConn
+	written atomic.Bool
+	// afterWrite makes reads fail only once the write has begun.
+	afterWrite bool
+}
+
+func (c *lateWriteConn) Read([]byte) (int, error) {
+	for c.afterWrite && !c.written.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	return 0, io.EOF
+}
+
+func (c *lateWriteConn) Write(p []byte) (int, error) {
+	c.written.Store(true)
+	return c.TCPConn.Write(p)
+}
+
+func (c *lateWriteConn) Close() error {
+	time.Sleep(10 * time.Millisecond)
+	return c.TCPConn.Close()
+}
+
+// Guards against a call that counts as not written, and is sent to another server, whose write in the background has yet to begin.
+func TestNotWrittenMeansNeverWritten(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(io.Discard, c)
+			}()
+		}
+	}()
+	tests := map[string]struct {
+		size int
+		// begun is true when the write has begun before the read fails.
+		begun bool
+	}{
+		"a body written in the background":         {size: maxInlineBody + 1},
+		"a body that has begun to be written":      {size: maxInlineBody + 1, begun: true},
+		"a body written before the read":           {size: maxInlineBody, begun: true},
+		"no body":                                  {begun: true},
+		"a long body written in the background":    {size: 1 << 20},
+		"a long body that has begun to be written": {size: 1 << 20, begun: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := New(Config{})
+			defer s.Close()
+			for range 20 {
+				nc, err := net.Dial("tcp", l.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				late := &lateWriteConn{TCPConn: nc.(*net.TCPConn), afterWrite: test.begun}
+				h := s.pool.host(l.Addr().String())
+				_, _ = h.take(false, 0)
+				h.put(newConn(late, h, time.Now()))
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				_, err = s.Do(ctx, &Request{Address: l.Addr().String(), Method: http.MethodPost, Path: "/item", Body: make([]byte, test.size)})
+				cancel()
+				var se *Error
+				if !errors.As(err, &se) {
+					t.Fatalf("got the error %v, want one of an attempt", err)
+				}
+				if !se.Written && late.written.Load() {
+					t.Fatalf("bytes were sent by an attempt that failed with %v and counts as not written", err)
+				}
+				if test.begun && !se.Written {
+					t.Fatalf("an attempt that sent bytes counts as not written: %v", err)
+				}
+			}
+		})
+	}
+}
