sender: a connection carries a call once

What callers would see: a call that was refused by one attempt is refused again, or sent to a third server, while the server of its second attempt runs it; an idempotent call gets the failure of its first attempt twice.

Cause: a response is a call's own by its request id, but all attempts of a call, and a caller that sends the call once more, use the same id. Connections are kept by address. Where a server starts again under another instance id at its address, the second attempt may use the connection of the first; a copy of the first attempt's refusal that the server writes late then passes for the second's.

Evidence: bytes on a loopback socket, a refusal with the id, and a copy of it before the response to the second request with that id.

Change: a connection keeps hashes of the request ids that it was taken for, and is not taken for one of these again. Probes and markers have no id and are not recorded.

--- a/peridot-entry/sender/conn.go
+++ b/peridot-entry/sender/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -13,6 +14,9 @@
 // maxHeaderBytes limits a response's header.
 const maxHeaderBytes = 256 << 10
 
+// maxCalls limits the calls that a connection carries, since it keeps a record of them.
+const maxCalls = 1024
+
 var errHeaderTooLarge = errors.Errorf("the answer's header is over %d bytes", maxHeaderBytes)
 
 // conn is a connection to a backend server; one exchange owns it at a time.
@@ -28,6 +32,8 @@
 	maxIdle time.Duration
 	// exchanges counts the requests that the connection was taken for, the current one included.
 	exchanges int
+	// calls holds the hashes of the ids of these requests, those without an id left out.
+	calls []uint64
 	// sending tells whether bytes of the current call may have been sent. It leaves notSent once, so that a write and the end of the exchange,
 	// which may come at the same time, agree on it.
 	sending atomic.Int32
@@ -93,12 +99,19 @@
 // interrupt makes pending reads and writes fail.
 func (c *conn) interrupt() { _ = c.SetDeadline(time.Unix(1, 0)) }
 
-func (c *conn) beginExchange() {
+// beginExchange prepares the connection for a request; id is the hash of its id, 0 for none.
+func (c *conn) beginExchange(id uint64) {
 	c.exchanges++
+	if id != 0 {
+		c.calls = append(c.calls, id)
+	}
 	c.received, c.writeErr = false, nil
 	c.sending.Store(notSent)
 }
 
+// hasCarried reports whether the connection was taken for a request whose id has that hash.
+func (c *conn) hasCarried(id uint64) bool { return id != 0 && slices.Contains(c.calls, id) }
+
 // endSending reports whether bytes of the current call may have been sent. If not, none will be.
 func (c *conn) endSending() bool {
 	return !c.sending.CompareAndSwap(notSent, neverSent) && c.sending.Load() == mayBeSent
@@ -107,9 +120,9 @@
 // isIdleTooLong reports whether an idle connection is to be closed.
 func (c *conn) isIdleTooLong(now time.Time) bool { return now.Sub(c.lastResponse) > c.maxIdle }
 
-// release makes the connection idle, or closes it when it holds bytes beyond the response.
+// release makes the connection idle, or closes it when it holds bytes beyond the response or has carried maxCalls.
 func (c *conn) release() {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || len(c.calls) >= maxCalls {
 		c.discard()
 		return
 	}
--- a/peridot-entry/sender/pool.go
+++ b/peridot-entry/sender/pool.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,8 +22,10 @@
 	// maxOpen limits the connections to all servers together; 0 for no limit.
 	maxOpen int64
 	open    atomic.Int64
-	mu      sync.Mutex
-	hosts   map[string]*host
+	// seed is that of the hashes of request ids.
+	seed  maphash.Seed
+	mu    sync.Mutex
+	hosts map[string]*host
 }
 
 // host holds the connections to one address.
@@ -41,6 +45,7 @@
 		dialer:         net.Dialer{Timeout: cfg.DialTimeout},
 		maxConnections: cfg.MaxConnections,
 		maxOpen:        int64(cfg.MaxOpen),
+		seed:           maphash.MakeSeed(),
 		hosts:          make(map[string]*host),
 	}
 }
@@ -57,19 +62,29 @@
 	return h
 }
 
-// get returns a usable idle connection or opens one.
+// hash returns a hash of a request id, 0 for an empty one.
+func (p *pool) hash(id string) uint64 {
+	if id == "" {
+		return 0
+	}
+	return maphash.String(p.seed, id) | 1
+}
+
+// get returns a usable idle connection or opens one. Attempts of one call have the same id, and what tells their responses apart is the
+// connection, so that none carries two of them.
 func (p *pool) get(ctx context.Context, req *Request) (*conn, error) {
 	h := p.host(req.Address)
 	limit := 0
 	if p.maxConnections != nil && req.Connections > 0 {
 		limit = p.maxConnections(req.Connections)
 	}
-	c, dial := h.take(req.FreshConnection, limit)
+	id := p.hash(req.ID)
+	c, dial := h.take(id, req.FreshConnection, limit)
 	if c == nil && !dial {
 		return nil, errNoConnection
 	}
 	if c != nil {
-		c.beginExchange()
+		c.beginExchange(id)
 		return c, nil
 	}
 	if !p.makeRoom() {
@@ -82,7 +97,7 @@
 		return nil, err
 	}
 	c = newConn(nc, h, time.Now())
-	c.beginExchange()
+	c.beginExchange(id)
 	return c, nil
 }
 
@@ -122,19 +137,22 @@
 	}
 }
 
-// take returns an idle connection, or reports whether the caller may dial one, which counts as open from then on. With fresh set, only
-// a connection with a response within freshFor is returned. At the limit, the connection that has been idle longest is closed to
-// make room for a new one.
-func (h *host) take(fresh bool, limit int) (c *conn, dial bool) {
+// take returns an idle connection that has carried no request whose id has that hash, or reports whether the caller may dial one, which counts
+// as open from then on. With fresh set, only a connection with a response within freshFor is returned. At the limit, the connection that has
+// been idle longest is closed to make room for a new one.
+func (h *host) take(id uint64, fresh bool, limit int) (c *conn, dial bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	for n := len(h.idle); n > 0; n = len(h.idle) {
-		c = h.idle[n-1]
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		c = h.idle[i]
 		if fresh && now.Sub(c.lastResponse) > freshFor {
 			break
 		}
-		h.idle = h.idle[:n-1]
+		if c.hasCarried(id) {
+			continue
+		}
+		h.idle = slices.Delete(h.idle, i, i+1)
 		if h.isUsable(c, now) {
 			return c, false
 		}
