--- a/peridot-entry/dispatcher/attempt.go
+++ b/peridot-entry/dispatcher/attempt.go
@@ -65,7 +65,14 @@
 		body.Close()
 		a.trace.Refusal = string(res.Proof)
 	}
-	result := picker.Result{Status: res.Status, Shed: res.Shed && !res.WrongServer, Closing: res.Closing, Unreachable: res.WrongServer, Load: res.Load, RateLimit: res.RateLimit}
+	if err == nil && res.WrongServer {
+		err = errWrongServer
+		body.Close()
+	}
+	result := picker.Result{
+		Status: res.Status, Shed: res.Shed && !res.WrongServer, Closing: res.Closing, Unreachable: res.WrongServer && res.Server != req.Server.InstanceID,
+		Load: res.Load, RateLimit: res.RateLimit,
+	}
 	if err != nil {
 		a.fail(ctx, req, err, result, s)
 		return
--- a/peridot-entry/dispatcher/dispatcher_test.go
+++ b/peridot-entry/dispatcher/dispatcher_test.go
@@ -34,6 +34,13 @@
 	return &sender.Response{Status: http.StatusServiceUnavailable, Shed: true, Body: io.NopCloser(strings.NewReader(""))}, nil
 }
 
+// respondMisdirected returns a function that responds as another server at the address; proven is whether that proves that the call was not run.
+func respondMisdirected(proven bool) sendFunc {
+	return func(context.Context, *sender.Request) (*sender.Response, error) {
+		return &sender.Response{Status: http.StatusMisdirectedRequest, WrongServer: true, Shed: proven, Body: io.NopCloser(strings.NewReader(""))}, nil
+	}
+}
+
 func failSend(written bool) sendFunc {
 	return func(context.Context, *sender.Request) (*sender.Response, error) {
 		return nil, &sender.Error{Phase: sender.Waiting, Written: written, Err: errors.New("reset")}
@@ -98,6 +105,12 @@
 		"an at-most-once call that was written is not retried":     {parser.AtMostOnce, nil, []sendFunc{failSend(true), respond(200)}, 1, 502, Unknown},
 		"an at-most-once call shed, then written":                  {parser.AtMostOnce, nil, []sendFunc{respondShed, failSend(true), respond(200)}, 2, 502, Unknown},
 		"an at-most-once call shed by all servers":                 {parser.AtMostOnce, nil, []sendFunc{respondShed}, 3, 503, NotRun},
+		"an at-most-once call to another server is retried":        {parser.AtMostOnce, nil, []sendFunc{respondMisdirected(true), respond(200)}, 2, 200, Ran},
+		"an at-most-once call, perhaps to another server":          {parser.AtMostOnce, nil, []sendFunc{respondMisdirected(false), respond(200)}, 1, 502, Unknown},
+		"a once-per-send call, perhaps to another server":          {parser.OncePerSend, nil, []sendFunc{respondMisdirected(false), respond(200)}, 1, 502, Unknown},
+		"an at-most-once call shed, then to another server":        {parser.AtMostOnce, nil, []sendFunc{respondShed, respondMisdirected(false), respond(200)}, 2, 502, Unknown},
+		"an idempotent call, perhaps to another server":            {parser.Idempotent, nil, []sendFunc{respondMisdirected(false), respond(200)}, 2, 200, Ran},
+		"an idempotent call, perhaps always to another server":     {parser.Idempotent, nil, []sendFunc{respondMisdirected(false)}, 3, 502, Unknown},
 		"an idempotent call that was written is retried":           {parser.Idempotent, nil, []sendFunc{failSend(true), respond(200)}, 2, 200, Ran},
 		"a server error is retried":                                {parser.Idempotent, nil, []sendFunc{respond(500), respond(200)}, 2, 200, Ran},
 		"a server error is returned when the retries fail":         {parser.Idempotent, nil, []sendFunc{respond(500), failSend(true)}, 3, 500, Ran},
--- a/peridot-entry/dispatcher/failure.go
+++ b/peridot-entry/dispatcher/failure.go
@@ -22,6 +22,9 @@
 
 var errShed = errors.New("the backend server shed the call")
 
+// errWrongServer is the error for a response that another server seems to have sent, which doesn't prove that the picked one hasn't run the call.
+var errWrongServer = errors.New("another backend server seems to have the address")
+
 var errRevoked = errors.New("the key of the call has been withdrawn")
 
 var errStopping = errors.New("this entry stops before the call could end")
--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -178,7 +178,7 @@
 		Trailer:     func() http.Header { return res.Trailer },
 		Body:        b,
 		Load:        info.Load,
-		Shed:        info.Shed,
+		Shed:        info.isRefusal() && e.provesNotRun(info),
 		Draining:    info.Draining && !info.WrongServer,
 		Closing:     info.Closing,
 		Server:      info.Server,
@@ -275,7 +275,7 @@
 // checkRefusal returns an error if the trailer of a refusal says that the request was run.
 func (b *body) checkRefusal() error {
 	e := b.exchange
-	if len(b.res.Trailer) > 0 && e.info.Shed && !e.probe && e.cfg.ParseHeaders(b.res.StatusCode, b.res.Trailer).Ran {
+	if len(b.res.Trailer) > 0 && e.info.isRefusal() && !e.probe && e.cfg.ParseHeaders(b.res.StatusCode, b.res.Trailer).Ran {
 		return errBothWays
 	}
 	return nil
--- a/peridot-entry/sender/match.go
+++ b/peridot-entry/sender/match.go
@@ -86,20 +86,34 @@
 }
 
 // refusal returns the response to this request once the marker's has been read: one of the doubtful ones, whichever it is. Only if all are
-// refusals is it certain that the request was refused.
+// refusals is it certain that the request was refused, and only if all prove it that it was not run.
 func (e *exchange) refusal() (*http.Response, error) {
+	weakest := e.doubts[0]
 	for _, d := range e.doubts {
-		if !d.info.Shed || saysBoth(d.res.StatusCode, &d.info) {
+		if !d.info.isRefusal() || saysBoth(d.res.StatusCode, &d.info) {
 			return nil, errNotOwn
 		}
+		if !e.provesNotRun(&d.info) {
+			weakest = d
+		}
 	}
-	first := e.doubts[0]
-	e.info, e.proof = first.info, ProofMarked
-	return first.res, nil
+	e.info, e.proof = weakest.info, ProofMarked
+	return weakest.res, nil
+}
+
+// isRefusal reports whether a response says in any way that its request was not run.
+func (i *HeaderInfo) isRefusal() bool { return i.Shed || i.WrongServer }
+
+// provesNotRun reports whether a refusal, if it is the response to this request, proves that the request was not run. That another server has the
+// address is proven only by that server's name: without it, the expected one may have sent the response after it ran the request.
+func (e *exchange) provesNotRun(info *HeaderInfo) bool {
+	return info.Shed || info.WrongServer && info.Server != "" && info.Server != e.server.InstanceID
 }
 
 // saysBoth reports whether a response says both that its request was run and that it was not. It proves neither.
-func saysBoth(status int, info *HeaderInfo) bool { return info.Shed && (info.Ran || status/100 == 2) }
+func saysBoth(status int, info *HeaderInfo) bool {
+	return info.isRefusal() && (info.Ran || status/100 == 2)
+}
 
 // drop discards the body of a response that is not returned, or not yet. More unsolicited responses may follow on this connection.
 func (e *exchange) drop(res *http.Response) error {
@@ -120,7 +134,7 @@
 }
 
 // invitesDoubt reports whether a response like the one that read returned would be taken for another request's if it came again.
-func (e *exchange) invitesDoubt() bool { return e.info.Shed && e.info.RequestID == "" }
+func (e *exchange) invitesDoubt() bool { return e.info.isRefusal() && e.info.RequestID == "" }
 
 // match finds out what the response whose header was read last is to this request, and sets proof if it is its own.
 func (e *exchange) match(res *http.Response) match {
@@ -143,10 +157,10 @@
 	if e.conn.exchanges == 1 && e.dropped == 0 {
 		e.proof = ProofFirst
 	}
-	if e.probe && e.proof == ProofOrder && e.cfg.NamesRequests && !e.info.Shed && e.info.Server == "" {
+	if e.probe && e.proof == ProofOrder && e.cfg.NamesRequests && !e.info.isRefusal() && e.info.Server == "" {
 		return stray
 	}
-	if e.proof == ProofFirst || e.requestID == "" || !e.info.Shed && !e.cfg.NamesRequests {
+	if e.proof == ProofFirst || e.requestID == "" || !e.info.isRefusal() && !e.cfg.NamesRequests {
 		return own
 	}
 	return doubtful
--- a/peridot-entry/sender/match_test.go
+++ b/peridot-entry/sender/match_test.go
@@ -20,7 +20,7 @@
 	return HeaderInfo{
 		RequestID:   h.Get("Id"),
 		Ran:         h.Get("Stamp") != "",
-		Shed:        h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
+		Shed:        h.Get("Not-Run") != "",
 		WrongServer: status == http.StatusMisdirectedRequest,
 		Server:      h.Get("Server"),
 		RateLimit:   RateLimit{Named: h.Get("Limit") != ""},
@@ -79,6 +79,8 @@
 		signed     = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nStamp: x\r\nContent-Length: 0\r\n\r\n"
 		closing    = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 		wrong      = "HTTP/1.1 421 Other\r\nServer: other\r\nContent-Length: 0\r\n\r\n"
+		unnamed    = "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"
+		itself     = "HTTP/1.1 421 Other\r\nServer: i\r\nContent-Length: 0\r\n\r\n"
 		success    = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
 		failure    = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
 		limiting   = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nLimit: 2\r\nContent-Length: 0\r\n\r\n"
@@ -96,6 +98,8 @@
 		body  string
 		proof Proof
 		err   error
+		// wrong is true for a 421 that doesn't prove that the call was not run.
+		wrong bool
 		// strays is the number of responses that are reported as another's.
 		strays int
 	}{
@@ -112,6 +116,10 @@
 		"another refusal, copy of a probe's":        {second: refusal + health, marker: named + lastHealth, body: "own", proof: ProofNamed, strays: 2},
 		"refused, the marker too":                   {second: refusal, marker: refusedToo, proof: ProofMarked},
 		"refused by another server at the address":  {second: wrong, marker: another, proof: ProofMarked},
+		"a 421 without a server's name":             {second: unnamed, marker: another, wrong: true, proof: ProofMarked},
+		"a 421 of the expected server":              {second: itself, marker: lastHealth, wrong: true, proof: ProofMarked},
+		"a refusal and a 421 of the expected":       {second: refusal + itself, marker: lastHealth, wrong: true, proof: ProofMarked},
+		"another 421 without a name first":          {second: unnamed, marker: named + lastHealth, body: "own", proof: ProofNamed, strays: 1},
 		"refused, the marker by an unnamed server":  {second: refusal, marker: closing, err: context.DeadlineExceeded},
 		"refused, another call's 421 next":          {second: refusal, marker: strings.Replace(wrong, "Server", "Connection: close\r\nServer", 1), err: context.DeadlineExceeded},
 		"refused, the marker's connection kept":     {second: refusal, marker: health, err: context.DeadlineExceeded},
@@ -172,7 +180,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if res.Shed != (test.body == "") || body != test.body || res.Proof != test.proof {
+			if test.wrong && !res.WrongServer || res.Shed != (test.body == "" && !test.wrong) || body != test.body || res.Proof != test.proof {
 				t.Errorf("refused: %t, body %q, proof %q; want body %q, proof %q", res.Shed, body, res.Proof, test.body, test.proof)
 			}
 			if strays != test.strays {
@@ -187,7 +195,7 @@
 	for name, text := range map[string]string{
 		"a refusal":                  "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
 		"a refusal that closes":      "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-		"another server's refusal":   "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n",
+		"another server's refusal":   "HTTP/1.1 421 Other\r\nServer: other\r\nContent-Length: 0\r\n\r\n",
 		"without a path for markers": "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/peridot-entry/sender/sender.go
+++ b/peridot-entry/sender/sender.go
@@ -66,7 +66,7 @@
 	Draining, Closing bool
 	// Server is the instance id of the server that responded; empty when the header has none.
 	Server string
-	// WrongServer is true when a server other than the expected one has the address.
+	// WrongServer is true when the response says that a server other than the expected one has the address.
 	WrongServer bool
 	// RequestID is the id of the request that the response belongs to; empty when the header has none.
 	RequestID string
@@ -88,10 +88,12 @@
 	Body    io.ReadCloser
 	Load    *Load
 	// Shed is true when it is certain that the server has not run the request.
-	Shed        bool
-	Draining    bool
-	Closing     bool
-	Server      string
+	Shed     bool
+	Draining bool
+	Closing  bool
+	Server   string
+	// WrongServer is true when the response says that a server other than the expected one has the address. Unless Shed is true as well, the
+	// expected one may have sent it, and may have run the request.
 	WrongServer bool
 	RateLimit   RateLimit
 	RetryAfter  time.Duration
