sender: a refusal behind a marker is proven only by the end of the connection

What callers would see: a call that may run only once is refused as not run, or run by a second backend server, while the first is at work on it.

Cause: a refusal without an id counted as the call's once the marker's response came next. That holds where servers respond in order. PROTOCOL.md says both that the health path waits for a slot and that it responds immediately; a server that answers it from another path may do so while the call that came before it is at work. Also taken for a marker's was a signed response to the call itself, without an id and with the server's name, and a copy of another marker's response.

Evidence: bytes on a loopback socket: another call's refusal, the marker's response, then the call's own response. Whether any server of the users responds out of order isn't known; HTTP/1.1 forbids it, and one that "serves one request at a time on a connection" doesn't.

Change: the marker asks for the end of the connection and its response announces it, so that the proof now waits for that end. If the call's own response comes instead, the caller gets it; if anything else does, the call may have run. A signed response is none to a marker.

The tests' server now closes the connection where its response says so; that one which doesn't proves nothing is a case of its own.

TestResponseIsMatchedToItsRequest fails before in its five new cases, such as: match_test.go:193: refused: true, body "", proof "marked"; want body "own", proof "named" match_test.go:185: got <nil>, want context deadline exceeded of a request that may have run

--- a/peridot-entry/sender/match.go
+++ b/peridot-entry/sender/match.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -36,7 +37,8 @@
 
 // read waits for the header of the response to this request. Responses to other requests are dropped. After a response that may be this
 // request's or another's, it sends a marker and reads on: servers respond to the requests of a connection in order, so that a response which
-// names this request still follows, or else the response to the marker is next.
+// names this request still follows, or else the response to the marker is next and the last one. The server closes the connection after it; as long
+// as the connection is open, a server that responds out of order may be at work on the request.
 func (e *exchange) read(hr *http.Request) (*http.Response, error) {
 	for ; e.dropped < maxStaleResponses; e.dropped++ {
 		res, err := e.readOne(hr)
@@ -49,7 +51,10 @@
 			e.accept(res)
 			return res, nil
 		case marked:
-			return e.refusal()
+			var ended bool
+			if ended, err = e.endsAfter(res); ended {
+				return e.refusal()
+			}
 		case doubtful:
 			err = e.doubt(hr, res)
 		case stray:
@@ -85,6 +90,20 @@
 	return e.sendMarker(hr, res)
 }
 
+// endsAfter discards the response to the marker, which is to be the last one on the connection, and reports whether it is. The error is set when
+// that can't be found out.
+func (e *exchange) endsAfter(res *http.Response) (ended bool, err error) {
+	if err = e.drop(res); err != nil {
+		return false, err
+	}
+	start := time.Now()
+	defer func() { e.timing.Wait += time.Since(start) }()
+	if _, err = e.conn.reader.Peek(1); err == io.EOF {
+		return true, nil
+	}
+	return false, err
+}
+
 // refusal returns the response to this request once the marker's has been read: one of the doubtful ones, whichever it is. Only if all are
 // refusals is it certain that the request was refused, and only if all prove it that it was not run.
 func (e *exchange) refusal() (*http.Response, error) {
@@ -149,8 +168,8 @@
 	case id != "" && e.probe:
 		// Probes have no id, so that a response with one is an earlier call's.
 		return stray
-	case e.marker && res.Close && e.info.Server != "" && !e.info.WrongServer:
-		// A server that is full may refuse the marker too.
+	case e.marker && res.Close && e.info.Server != "" && !e.info.WrongServer && !e.info.Ran:
+		// A server that is full may refuse the marker too. A marker runs nothing.
 		return marked
 	}
 	e.proof = ProofOrder
--- a/peridot-entry/sender/match_test.go
+++ b/peridot-entry/sender/match_test.go
@@ -28,7 +28,7 @@
 }
 
 // startScripted starts a server that reads the requests of each connection and writes, for each, what respond returns for its number on the
-// connection, counted from 0, and its path. An empty text closes the connection.
+// connection, counted from 0, and its path. An empty text closes the connection, as does hangUp at the end of a text.
 func startScripted(t *testing.T, respond func(n int, path string) string) (address string) {
 	return startScriptedConns(t, func() func(int, string) string { return respond })
 }
@@ -52,6 +52,9 @@
 	return l.Addr().String()
 }
 
+// hangUp at the end of a text closes the connection.
+const hangUp = "\x00"
+
 func serveScripted(c net.Conn, respond func(n int, path string) string) {
 	defer c.Close()
 	r := bufio.NewReader(c)
@@ -63,11 +66,11 @@
 		if _, err = io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		text := respond(n, req.URL.Path)
-		if text == "" {
+		text, closed := strings.CutSuffix(respond(n, req.URL.Path), hangUp)
+		_, _ = io.WriteString(c, text)
+		if closed || text == "" {
 			return
 		}
-		_, _ = io.WriteString(c, text)
 	}
 }
 
@@ -86,9 +89,10 @@
 		limiting   = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nLimit: 2\r\nContent-Length: 0\r\n\r\n"
 		named      = "HTTP/1.1 200 OK\r\nId: second\r\nContent-Length: 3\r\n\r\nown"
 		health     = "HTTP/1.1 200 OK\r\nServer: i\r\nContent-Length: 0\r\n\r\n"
-		lastHealth = "HTTP/1.1 200 OK\r\nServer: i\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-		another    = "HTTP/1.1 200 OK\r\nServer: other\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-		refusedToo = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nServer: i\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+		lastHealth = "HTTP/1.1 200 OK\r\nServer: i\r\nConnection: close\r\nContent-Length: 0\r\n\r\n" + hangUp
+		ranLast    = "HTTP/1.1 503 Failed\r\nServer: i\r\nStamp: x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+		another    = "HTTP/1.1 200 OK\r\nServer: other\r\nConnection: close\r\nContent-Length: 0\r\n\r\n" + hangUp
+		refusedToo = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nServer: i\r\nConnection: close\r\nContent-Length: 0\r\n\r\n" + hangUp
 	)
 	tests := map[string]struct {
 		// second is what the server writes when it has read the second request, and marker when it has read a marker.
@@ -123,6 +127,11 @@
 		"refused, the marker by an unnamed server":  {second: refusal, marker: closing, err: context.DeadlineExceeded},
 		"refused, another call's 421 next":          {second: refusal, marker: strings.Replace(wrong, "Server", "Connection: close\r\nServer", 1), err: context.DeadlineExceeded},
 		"refused, the marker's connection kept":     {second: refusal, marker: health, err: context.DeadlineExceeded},
+		"refused, closing is said and not done":     {second: refusal, marker: strings.TrimSuffix(lastHealth, hangUp), err: context.DeadlineExceeded},
+		"the marker's response before its own":      {second: refusal, marker: strings.TrimSuffix(lastHealth, hangUp) + named + hangUp, body: "own", proof: ProofNamed, strays: 1},
+		"the marker's response and a refusal":       {second: refusal, marker: strings.TrimSuffix(lastHealth, hangUp) + refusal + hangUp, err: io.ErrUnexpectedEOF},
+		"its own response like the marker's":        {second: refusal, marker: ranLast + hangUp, err: io.ErrUnexpectedEOF},
+		"a copy of a marker's response first":       {second: refusal + strings.TrimSuffix(lastHealth, hangUp), marker: named + lastHealth, body: "own", proof: ProofNamed, strays: 1},
 		"refused and closed":                        {second: refusal, marker: "", err: io.ErrUnexpectedEOF},
 		"refused, closing":                          {second: closing, err: context.DeadlineExceeded},
 		"refused, no marker in the budget":          {second: refusal, noMarkers: true, err: errUnmarked},
