sender: a response that comes before the request is none to it

What callers would see: a call that may run only once is refused as not run, or sent to a second backend server, and then its bytes reach the first one.

Cause: a body over 8 KB is written in the background. If the server had written a refusal at once, as the first response on a new connection, the refusal was taken for the call's own before that write had begun, and nothing ended the write until the connection was closed.

Change: bytes that are read before the first byte of a request may have been sent rule out that write, by the state that the end of an exchange takes as well, and the read fails: the call was not written and never will be.

TestResponseBeforeTheRequestIsWritten fails before: written_test.go:135: reading the response returned the error <nil>, want none only after the request was sent written_test.go:138: a request was written after the response to it Its case of a response after the first write holds before and after.

--- a/peridot-entry/sender/conn.go
+++ b/peridot-entry/sender/conn.go
@@ -56,6 +56,9 @@
 	neverSent
 )
 
+// errUnasked is the error of a read that finds bytes before the request was written.
+var errUnasked = errors.New("bytes that came before the request was sent")
+
 // errEnded is the error of a write that begins after the exchange has ended.
 var errEnded = errors.New("the call ended before its request was written")
 
@@ -77,7 +80,8 @@
 	return n, err
 }
 
-// Read implements net.Conn, records that bytes were received and limits the size of headers.
+// Read implements net.Conn, records that bytes were received and limits the size of headers. It fails if bytes come before any of the call was
+// written, and then none will be: they belong to no response to it.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headerBytesLeft == 0 {
 		return 0, errHeaderTooLarge
@@ -86,6 +90,9 @@
 		p = p[:c.headerBytesLeft]
 	}
 	n, err := c.Conn.Read(p)
+	if n > 0 && !c.received && c.sending.CompareAndSwap(notSent, neverSent) {
+		return 0, errUnasked
+	}
 	c.received = c.received || n > 0
 	if c.headerBytesLeft > 0 {
 		c.headerBytesLeft -= n
--- a/peridot-entry/sender/written_test.go
+++ b/peridot-entry/sender/written_test.go
@@ -98,3 +98,51 @@
 		})
 	}
 }
+
+// Guards against a call that counts as refused by a response that came before any of it was written, and is written all the same.
+func TestResponseBeforeTheRequestIsWritten(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, written := range map[string]bool{"before": false, "after": true} {
+		t.Run(name, func(t *testing.T) {
+			client, server := net.Pipe()
+			defer server.Close()
+			c := newConn(client, nil, time.Now())
+			defer c.Close()
+			c.beginExchange(0)
+			received := make(chan int, 1)
+			go func() {
+				if !written {
+					write(server, refusal)
+				}
+				_ = server.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+				n, _ := server.Read(make([]byte, 9))
+				if written {
+					write(server, refusal)
+				}
+				received <- n
+			}()
+			send := func() error {
+				_, err := c.Write([]byte("PUT /item"))
+				return err
+			}
+			if written {
+				if err := send(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			_, err := c.reader.Peek(1)
+			if (err == nil) != written {
+				t.Errorf("reading the response returned the error %v, want none only after the request was sent", err)
+			}
+			if !written && send() == nil {
+				t.Error("a request was written after the response to it")
+			}
+			if n := <-received; (n > 0) != written {
+				t.Errorf("the server got %d bytes", n)
+			}
+			if sent := c.endSending(); sent != written {
+				t.Errorf("bytes may have been sent: %t, want %t", sent, written)
+			}
+		})
+	}
+}
