--- a/peridot-entry/accountant/meter.go
+++ b/peridot-entry/accountant/meter.go
@@ -89,16 +89,20 @@
 	}
 }
 
-// otherPhase is the label of attempts that failed outside the sender.
-const otherPhase = "other"
+const (
+	// otherPhase is the label of attempts that failed outside the sender.
+	otherPhase = "other"
+	// contradictory is the label of attempts whose response says both that the server ran the call and that it did not.
+	contradictory = "contradictory"
+)
 
 // recordAttempt counts an attempt that was refused, or may have been run though it failed, or whose status alone says that it was not run.
 func (m *Meter) recordAttempt(service string, a *tracer.Attempt) {
-	if a.RefusalKind != "" {
-		kind := a.RefusalKind
-		if a.Signed {
-			kind += "-signed"
-		}
+	kind := a.RefusalKind
+	if a.Contradictory {
+		kind = contradictory
+	}
+	if kind != "" {
 		m.counter(m.serverRefusals, "server_refusals", "kind", labelValues{service, kind}).Inc(1)
 	}
 	if a.MayHaveRun {
--- a/peridot-entry/dispatcher/attempt.go
+++ b/peridot-entry/dispatcher/attempt.go
@@ -48,6 +48,7 @@
 		if errors.As(err, &se) {
 			a.setTiming(se.Timing)
 			a.trace.Exchange, a.trace.LocalPort, a.trace.Status = se.Exchange, se.LocalPort, se.Status
+			a.trace.Contradictory = se.Contradictory
 		}
 		a.fail(ctx, req, err, picker.Result{}, s)
 		return
@@ -55,7 +56,7 @@
 	a.answered.Store(true)
 	a.setTiming(res.Timing)
 	a.trace.Exchange, a.trace.LocalPort, a.trace.Status = res.Exchange, res.LocalPort, res.Status
-	a.trace.Signed, a.trace.Written = res.Signed, true
+	a.trace.Written = true
 	if res.Draining {
 		a.choice.MarkDraining()
 	}
@@ -70,7 +71,14 @@
 		body.Close()
 		a.trace.Refusal, a.trace.RefusalKind = string(res.Proof), string(res.Refusal)
 	}
-	result := picker.Result{Status: res.Status, Shed: res.Shed && !res.WrongServer, Closing: res.Closing, Unreachable: res.WrongServer, Load: res.Load, RateLimit: res.RateLimit}
+	if err == nil && res.WrongServer {
+		err = errWrongServer
+		body.Close()
+	}
+	result := picker.Result{
+		Status: res.Status, Shed: res.Shed && !res.WrongServer, Closing: res.Closing, Unreachable: res.WrongServer && res.Server != req.Server.InstanceID,
+		Load: res.Load, RateLimit: res.RateLimit,
+	}
 	if err != nil {
 		a.fail(ctx, req, err, result, s)
 		return
--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -168,6 +168,9 @@
 	if info.InvalidReason != "" && !e.probe {
 		return nil, e.fail(ctx, ReadingBody, errors.New(info.InvalidReason))
 	}
+	if saysBoth(res.StatusCode, info) && !e.probe {
+		return nil, e.fail(ctx, ReadingBody, errBothWays)
+	}
 	if closeDelimited || e.invitesDoubt() || res.Close || !res.ProtoAtLeast(1, 1) {
 		e.conn.broken = true
 	}
@@ -178,9 +181,8 @@
 		Trailer:     func() http.Header { return res.Trailer },
 		Body:        b,
 		Load:        info.Load,
-		Shed:        info.Shed,
-		Refusal:     info.Refusal,
-		Signed:      info.Signed,
+		Shed:        info.isRefusal() && e.provesNotRun(info),
+		Refusal:     e.refusalKind(info),
 		Draining:    info.Draining && !info.WrongServer,
 		Closing:     info.Closing,
 		Server:      info.Server,
@@ -208,8 +210,9 @@
 	if e.stop != nil {
 		e.stop()
 	}
-	out.Written = e.conn.wrote.Load()
+	out.Written = e.conn.endSending()
 	out.Exchange, out.LocalPort, out.Status = e.conn.exchanges, e.conn.localPort(), e.status
+	out.Contradictory = errors.Is(err, errBothWays)
 	if out.Status == 0 && len(e.doubts) > 0 {
 		out.Status = e.doubts[0].res.StatusCode
 	}
@@ -267,7 +270,7 @@
 		err = errReset
 	}
 	if err == io.EOF {
-		err = cmp.Or(checkNames(b.res.Trailer), err)
+		err = cmp.Or(checkNames(b.res.Trailer), b.checkRefusal(), err)
 	}
 	if err == io.EOF {
 		b.err = err
@@ -278,6 +281,15 @@
 	return n, b.err
 }
 
+// checkRefusal returns an error if the trailer of a refusal says that the request was run.
+func (b *body) checkRefusal() error {
+	e := b.exchange
+	if len(b.res.Trailer) > 0 && e.info.isRefusal() && !e.probe && e.cfg.ParseHeaders(b.res.StatusCode, b.res.Trailer).Ran {
+		return errBothWays
+	}
+	return nil
+}
+
 // Close closes the connection unless the body has been read to its end.
 func (b *body) Close() error {
 	if b.err == nil {
@@ -344,7 +356,6 @@
 		Draining:   h.Get("Peridot-Draining") == "true",
 	}
 	if info.Shed {
-		info.Refusal = RefusalStated
 		// Other responses may carry the id of a call that the server made itself.
 		info.RequestID = h.Get("Peridot-Request-Id")
 	}
--- a/peridot-entry/sender/match.go
+++ b/peridot-entry/sender/match.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -11,6 +12,7 @@
 	errStale    = errors.New("the connection brings answers to other requests")
 	errNotOwn   = errors.New("a response that names no request and may be another's")
 	errUnmarked = errors.New("a response that names no request, and no way to find out whose it is")
+	errBothWays = errors.New("a response that says both that the call was run and that it was not")
 )
 
 // match is what a response is to the request that waits for one.
@@ -35,7 +37,8 @@
 
 // read waits for the header of the response to this request. Responses to other requests are dropped. After a response that may be this
 // request's or another's, it sends a marker and reads on: servers respond to the requests of a connection in order, so that a response which
-// names this request still follows, or else the response to the marker is next.
+// names this request still follows, or else the response to the marker is next and the last one. The server closes the connection after it; as long
+// as the connection is open, a server that responds out of order may be at work on the request.
 func (e *exchange) read(hr *http.Request) (*http.Response, error) {
 	for ; e.dropped < maxStaleResponses; e.dropped++ {
 		res, err := e.readOne(hr)
@@ -48,7 +51,10 @@
 			e.accept(res)
 			return res, nil
 		case marked:
-			return e.refusal()
+			var ended bool
+			if ended, err = e.endsAfter(res); ended {
+				return e.refusal()
+			}
 		case doubtful:
 			err = e.doubt(hr, res)
 		case stray:
@@ -84,17 +90,59 @@
 	return e.sendMarker(hr, res)
 }
 
+// endsAfter discards the response to the marker, which is to be the last one on the connection, and reports whether it is. The error is set when
+// that can't be found out.
+func (e *exchange) endsAfter(res *http.Response) (ended bool, err error) {
+	if err = e.drop(res); err != nil {
+		return false, err
+	}
+	start := time.Now()
+	defer func() { e.timing.Wait += time.Since(start) }()
+	if _, err = e.conn.reader.Peek(1); err == io.EOF {
+		return true, nil
+	}
+	return false, err
+}
+
 // refusal returns the response to this request once the marker's has been read: one of the doubtful ones, whichever it is. Only if all are
-// refusals is it certain that the request was refused.
+// refusals is it certain that the request was refused, and only if all prove it that it was not run.
 func (e *exchange) refusal() (*http.Response, error) {
+	weakest := e.doubts[0]
 	for _, d := range e.doubts {
-		if !d.info.Shed {
+		if !d.info.isRefusal() || saysBoth(d.res.StatusCode, &d.info) {
 			return nil, errNotOwn
 		}
+		if !e.provesNotRun(&d.info) {
+			weakest = d
+		}
+	}
+	e.info, e.proof = weakest.info, ProofMarked
+	return weakest.res, nil
+}
+
+// isRefusal reports whether a response says in any way that its request was not run.
+func (i *HeaderInfo) isRefusal() bool { return i.Shed || i.WrongServer }
+
+// provesNotRun reports whether a refusal, if it is the response to this request, proves that the request was not run. That another server has the
+// address is proven only by that server's name: without it, the expected one may have sent the response after it ran the request.
+func (e *exchange) provesNotRun(info *HeaderInfo) bool {
+	return info.Shed || info.WrongServer && info.Server != "" && info.Server != e.server.InstanceID
+}
+
+// refusalKind returns what proves that the request was not run; empty if nothing does.
+func (e *exchange) refusalKind(info *HeaderInfo) RefusalKind {
+	switch {
+	case !info.isRefusal() || !e.provesNotRun(info):
+		return ""
+	case info.Shed:
+		return RefusalStated
 	}
-	first := e.doubts[0]
-	e.info, e.proof = first.info, ProofMarked
-	return first.res, nil
+	return RefusalWrongServer
+}
+
+// saysBoth reports whether a response says both that its request was run and that it was not. It proves neither.
+func saysBoth(status int, info *HeaderInfo) bool {
+	return info.isRefusal() && (info.Ran || status/100 == 2)
 }
 
 // drop discards the body of a response that is not returned, or not yet. More unsolicited responses may follow on this connection.
@@ -116,7 +164,7 @@
 }
 
 // invitesDoubt reports whether a response like the one that read returned would be taken for another request's if it came again.
-func (e *exchange) invitesDoubt() bool { return e.info.Shed && e.info.RequestID == "" }
+func (e *exchange) invitesDoubt() bool { return e.info.isRefusal() && e.info.RequestID == "" }
 
 // match finds out what the response whose header was read last is to this request, and sets proof if it is its own.
 func (e *exchange) match(res *http.Response) match {
@@ -131,18 +179,18 @@
 	case id != "" && e.probe:
 		// Probes have no id, so that a response with one is an earlier call's.
 		return stray
-	case e.marker && res.Close && e.info.Server != "" && !e.info.WrongServer:
-		// A server that is full may refuse the marker too.
+	case e.marker && res.Close && e.info.Server != "" && !e.info.WrongServer && !e.info.Ran:
+		// A server that is full may refuse the marker too. A marker runs nothing.
 		return marked
 	}
 	e.proof = ProofOrder
 	if e.conn.exchanges == 1 && e.dropped == 0 {
 		e.proof = ProofFirst
 	}
-	if e.probe && e.proof == ProofOrder && e.cfg.NamesRequests && !e.info.Shed && e.info.Server == "" {
+	if e.probe && e.proof == ProofOrder && e.cfg.NamesRequests && !e.info.isRefusal() && e.info.Server == "" {
 		return stray
 	}
-	if e.proof == ProofFirst || e.requestID == "" || !e.info.Shed && !e.cfg.NamesRequests {
+	if e.proof == ProofFirst || e.requestID == "" || !e.info.isRefusal() && !e.cfg.NamesRequests {
 		return own
 	}
 	return doubtful
--- a/peridot-entry/sender/sender.go
+++ b/peridot-entry/sender/sender.go
@@ -59,17 +59,14 @@
 // HeaderInfo is the information in a response's header that the entry itself uses.
 type HeaderInfo struct {
 	Load *Load
-	Shed bool
-	// Refusal is what makes the response a refusal; empty when Shed is false or the header doesn't tell.
-	Refusal RefusalKind
-	// Signed is true when a response that says that the call was not run has the signature of one that ran.
-	Signed bool
+	// Shed is true when the server says that it has not run the request, Ran when it says that it has, such as by a signature.
+	Shed, Ran bool
 	// Draining is true when the server says that it drains, Closing when it refuses a call and closes the connection, as servers that stop
 	// do and sometimes others.
 	Draining, Closing bool
 	// Server is the instance id of the server that responded; empty when the header has none.
 	Server string
-	// WrongServer is true when a server other than the expected one has the address.
+	// WrongServer is true when the response says that a server other than the expected one has the address.
 	WrongServer bool
 	// RequestID is the id of the request that the response belongs to; empty when the header has none.
 	RequestID string
@@ -87,15 +84,18 @@
 	Status int
 	Header http.Header
 	// Trailer returns the trailer once the body has been read to its end.
-	Trailer     func() http.Header
-	Body        io.ReadCloser
-	Load        *Load
-	Shed        bool
-	Refusal     RefusalKind
-	Signed      bool
-	Draining    bool
-	Closing     bool
-	Server      string
+	Trailer func() http.Header
+	Body    io.ReadCloser
+	Load    *Load
+	// Shed is true when it is certain that the server has not run the request.
+	Shed bool
+	// Refusal is what proves that; empty unless Shed is true.
+	Refusal  RefusalKind
+	Draining bool
+	Closing  bool
+	Server   string
+	// WrongServer is true when the response says that a server other than the expected one has the address. Unless Shed is true as well, the
+	// expected one may have sent it, and may have run the request.
 	WrongServer bool
 	RateLimit   RateLimit
 	RetryAfter  time.Duration
@@ -116,7 +116,7 @@
 const (
 	// RefusalStated means that the backend server says that it did not run the call.
 	RefusalStated RefusalKind = "stated"
-	// RefusalWrongServer means that the status says that another server has the address, and nothing else says that the call was not run.
+	// RefusalWrongServer means that another server has the address, by its name, and nothing else says that the call was not run.
 	RefusalWrongServer RefusalKind = "wrong-server"
 )
 
@@ -179,6 +179,8 @@
 	LocalPort int
 	// Status is that of a response that was read and not accepted; 0 when there was none.
 	Status int
+	// Contradictory is true when that response says both that the server ran the call and that it did not.
+	Contradictory bool
 	// Unreachable is true when dialing failed for a reason other than the end of the call's context.
 	Unreachable bool
 	Err         error
--- a/peridot-entry/supervisor/calllog.go
+++ b/peridot-entry/supervisor/calllog.go
@@ -146,8 +146,8 @@
 	if at.RefusalKind != "" {
 		d = d.Str("refusal-kind", at.RefusalKind)
 	}
-	if at.Signed {
-		d = d.Bool("signed", true)
+	if at.Contradictory {
+		d = d.Bool("contradictory", true)
 	}
 	if at.Unproven {
 		d = d.Bool("unproven", true)
--- a/peridot-entry/tracer/trace.go
+++ b/peridot-entry/tracer/trace.go
@@ -30,10 +30,10 @@
 	// Refusal is, for an attempt that the backend server refused, why the refusal is the call's: a value of sender.Proof. It is empty
 	// for other attempts.
 	Refusal string `json:"refusal,omitempty"`
-	// RefusalKind is what made the response a refusal: a value of sender.RefusalKind. Signed is true when a response that says that the call
-	// was not run has the signature of one that ran.
-	RefusalKind string `json:"refusal-kind,omitempty"`
-	Signed      bool   `json:"signed,omitempty"`
+	// RefusalKind is what made the response a refusal: a value of sender.RefusalKind. Contradictory is true when a response says both that the server
+	// ran the call and that it did not.
+	RefusalKind   string `json:"refusal-kind,omitempty"`
+	Contradictory bool   `json:"contradictory,omitempty"`
 	// LocalPort is the entry's port of the connection; 0 when there was none. Two attempts with the same address and port used one connection.
 	LocalPort int `json:"local-port,omitempty"`
 	// Status is that of the response, also of one that was a refusal or was not accepted; 0 when there was none.
--- a/peridotctl/commander/report.go
+++ b/peridotctl/commander/report.go
@@ -124,20 +124,20 @@
 }
 
 type explainAttempt struct {
-	Server      string `json:"server"`
-	Start       int64  `json:"start-ns"`
-	Result      string `json:"result"`
-	Hedge       bool   `json:"hedge"`
-	Address     string `json:"address"`
-	LocalPort   int    `json:"local-port"`
-	Exchange    int    `json:"exchange"`
-	Status      int    `json:"status"`
-	Refusal     string `json:"refusal"`
-	RefusalKind string `json:"refusal-kind"`
-	Signed      bool   `json:"signed"`
-	Unproven    bool   `json:"unproven"`
-	Written     bool   `json:"written"`
-	MayHaveRun  bool   `json:"may-have-run"`
+	Server        string `json:"server"`
+	Start         int64  `json:"start-ns"`
+	Result        string `json:"result"`
+	Hedge         bool   `json:"hedge"`
+	Address       string `json:"address"`
+	LocalPort     int    `json:"local-port"`
+	Exchange      int    `json:"exchange"`
+	Status        int    `json:"status"`
+	Refusal       string `json:"refusal"`
+	RefusalKind   string `json:"refusal-kind"`
+	Contradictory bool   `json:"contradictory"`
+	Unproven      bool   `json:"unproven"`
+	Written       bool   `json:"written"`
+	MayHaveRun    bool   `json:"may-have-run"`
 }
 
 // details returns the connection of the attempt and what is known of its outcome, with the names of the log's fields.
@@ -154,7 +154,7 @@
 	add("status", a.Status, a.Status > 0)
 	add("refusal", strconv.Quote(a.Refusal), a.Refusal != "")
 	add("refusal-kind", strconv.Quote(a.RefusalKind), a.RefusalKind != "")
-	add("signed", a.Signed, a.Signed)
+	add("contradictory", a.Contradictory, a.Contradictory)
 	add("unproven", a.Unproven, a.Unproven)
 	add("written", a.Written, true)
 	add("may-have-run", a.MayHaveRun, a.MayHaveRun)
