sender: the test of early responses opens a connection for each

Its server closes each connection after one response without saying so; where the upload had ended before the response was read, the sender used the connection again, and the request crossed the close.

--- a/peridot-entry/sender/reset_test.go
+++ b/peridot-entry/sender/reset_test.go
@@ -106,10 +106,10 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := New(Config{AllowCloseDelimited: true})
-			defer s.Close()
 			address := startEarly(t, tt.respond)
 			for range 20 {
+				// The server closes each connection after one response without saying so, so that none may be used again.
+				s := New(Config{AllowCloseDelimited: true})
 				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 				res, err := s.Do(ctx, &Request{Address: address, Method: http.MethodPost, Path: "/item", Body: make([]byte, tt.upload)})
 				var text []byte
@@ -118,6 +118,7 @@
 					_ = res.Body.Close()
 				}
 				cancel()
+				s.Close()
 				if tt.want == "" && err == nil {
 					t.Fatalf("a response that was reset is read to its end: %q", text)
 				}
