prover: the refusal runs can leave faults out; signed responses are compared with what servers gave

A fault with a minus in -refusals-faults is not injected, so that other causes can be looked for while a known one is open. A signed response whose status no server gave breaks a rule as well.

--- a/prover/platform_refusals_client_test.go
+++ b/prover/platform_refusals_client_test.go
@@ -29,6 +29,8 @@
 	// status is 0 without a complete response; failure says why, and wrong what is another call's in a response.
 	status         int
 	failure, wrong string
+	// signed is set if the response has a server's signature.
+	signed bool
 }
 
 // refusalBody returns the body of a call.
@@ -250,24 +252,27 @@
 	if err == nil {
 		body, err = io.ReadAll(res.Body)
 	}
-	status, wrong, failure := 0, "", ""
+	status, wrong, failure, signed := 0, "", "", false
 	switch {
 	case err == nil:
 		status = res.StatusCode
+		signed = res.Header.Get("Server-Stamp") != ""
 		wrong = wrongResponse(call.id, res, string(body))
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		failure = "no response"
 	default:
-		failure = err.Error()
-		if strings.Contains(failure, "malformed") {
-			wrong = failure
+		failure = err.Error()[strings.LastIndex(err.Error(), ": ")+1:]
+		if strings.Contains(err.Error(), "malformed") {
+			wrong = err.Error()
 		}
 	}
 	if res != nil && err != nil && meansRefused(res.StatusCode) {
 		// The status has reached the client.
 		status = res.StatusCode
 	}
-	k.client.run.update(func() { call.answered, call.status, call.wrong, call.failure = time.Now(), status, wrong, failure })
+	k.client.run.update(func() {
+		call.answered, call.status, call.wrong, call.failure, call.signed = time.Now(), status, wrong, failure, signed
+	})
 	return err == nil && !res.Close
 }
 
--- a/prover/platform_refusals_faults_test.go
+++ b/prover/platform_refusals_faults_test.go
@@ -284,23 +284,36 @@
 	"odd-not-executed": moodFor(0.5, "odd-not-executed"),
 }
 
-// injectFaults injects random faults one after the other until the given time.
-func (r *refusalRun) injectFaults(rnd *rand.Rand, until time.Time) {
-	all := maps.Clone(refusalFaults)
+// chooseFaults returns all faults, and the names of those that the value of -refusals-faults chooses.
+func chooseFaults(text string) (all map[string]refusalFault, names []string) {
+	all = maps.Clone(refusalFaults)
 	if *refusalOdd {
 		maps.Copy(all, oddRefusalFaults)
 	}
-	names := slices.Sorted(maps.Keys(all))
-	if r.faultNames != "" {
-		names = strings.Split(r.faultNames, ",")
+	listed := strings.FieldsFunc(text, func(c rune) bool { return c == ',' })
+	chosen := make(map[string]bool)
+	for _, name := range listed {
+		chosen[strings.TrimPrefix(name, "-")] = true
+		if name != "none" {
+			Expect(all).To(HaveKey(strings.TrimPrefix(name, "-")), "-refusals-faults")
+		}
+	}
+	exclude := text == "" || strings.HasPrefix(text, "-")
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		if chosen[name] != exclude {
+			names = append(names, name)
+		}
 	}
-	if r.faultNames == "none" {
+	return all, names
+}
+
+// injectFaults injects random faults one after the other until the given time.
+func (r *refusalRun) injectFaults(rnd *rand.Rand, until time.Time) {
+	all, names := chooseFaults(r.faultNames)
+	if len(names) == 0 {
 		time.Sleep(time.Until(until))
 		return
 	}
-	for _, name := range names {
-		Expect(all).To(HaveKey(name), "-refusals-faults")
-	}
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(rnd.IntN(400)) * time.Millisecond)
 		name := names[rnd.IntN(len(names))]
--- a/prover/platform_refusals_test.go
+++ b/prover/platform_refusals_test.go
@@ -23,7 +23,7 @@
 var (
 	refusalSeeds      = flag.String("refusals-seeds", "1", "seeds of the runs, such as 1-50 or 3,7,9")
 	refusalFor        = flag.Duration("refusals-for", 8*time.Second, "how long faults are injected for each seed")
-	refusalFaultNames = flag.String("refusals-faults", "", "comma-separated names of the faults to inject; all when empty, or none")
+	refusalFaultNames = flag.String("refusals-faults", "", "comma-separated names of the faults to inject, or each with a minus of those not to inject; all when empty, or none")
 	refusalOdd        = flag.Bool("refusals-odd", false, "also have servers that contradict themselves about what they ran")
 	refusalKeep       = flag.Bool("refusals-keep", false, "keep the logs of runs that broke no rule")
 	refusalClients    = flag.Int("refusals-clients", 60, "number of clients")
@@ -214,8 +214,11 @@
 		}
 	}
 	for id, sent := range r.calls {
-		if sent.wrong != "" {
+		switch {
+		case sent.wrong != "":
 			found = append(found, fmt.Sprintf("MIXED %s: %s", id, sent.wrong))
+		case sent.signed && !slices.ContainsFunc(r.visits[id], func(v *refusalVisit) bool { return v.status == sent.status }):
+			found = append(found, fmt.Sprintf("MIXED %s: signed, with status %d that no server gave", id, sent.status))
 		}
 	}
 	r.mu.Unlock()
@@ -264,10 +267,13 @@
 func (r *refusalRun) summary() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	statuses := make(map[int]int)
+	statuses, failures := make(map[int]int), make(map[string]int)
 	refusedVisited, refusedOften, sameAddress := 0, 0, 0
 	for id, c := range r.calls {
 		statuses[c.status]++
+		if c.failure != "" && c.style != "half-close" {
+			failures[strings.TrimSpace(c.failure)]++
+		}
 		visits := r.visits[id]
 		if meansRefused(c.status) && len(visits) > 0 {
 			refusedVisited++
@@ -295,8 +301,8 @@
 			causes[match[1]]++
 		}
 	}
-	return fmt.Sprintf("seed %d: %d control, %d entries, %d servers, %d calls, %d violations; statuses %v; refused after a visit %d, after several %d; visited an address again %d; causes %v; visits %v; faults %v",
-		r.seed, len(r.fleet.control), len(r.fleet.entries), len(r.machines), len(r.calls), len(r.violations), statuses, refusedVisited, refusedOften, sameAddress, causes, counts, r.faults)
+	return fmt.Sprintf("seed %d: %d control, %d entries, %d servers, %d calls, %d violations; statuses %v, without %v; refused after a visit %d, after several %d; visited an address again %d; causes %v; visits %v; faults %v",
+		r.seed, len(r.fleet.control), len(r.fleet.entries), len(r.machines), len(r.calls), len(r.violations), statuses, failures, refusedVisited, refusedOften, sameAddress, causes, counts, r.faults)
 }
 
 // report returns the violations, what clients and servers noted of these calls, what the entries logged and the timeline.
