--- a/prover/platform_refusals_test.go
+++ b/prover/platform_refusals_test.go
@@ -37,8 +37,7 @@
 
 // refusalRegressions are runs that once failed, by cause. They run in addition to those of -refusals-seeds unless faults are chosen.
 var refusalRegressions = map[string]refusalCase{
-	"restarted servers write their 421 once more":                          {4, "server-herd-misdirects"},
-	"restarted servers refuse before they look for whom, and once more so": {4, "server-herd-refuses"},
+	"restarted servers refuse calls for their predecessors, and write the refusals once more": {4, "server-herd-misdirects,server-herd-refuses"},
 }
 
 // refusalRun is one run under faults that a seed determines. Every verdict comes from what clients and servers noted.
@@ -290,19 +289,25 @@
 		}
 	}
 	counts := make(map[string]int)
+	var work, span time.Duration
 	for _, v := range r.visits {
 		for _, visit := range v {
 			counts[visit.action]++
+			span = max(span, visit.head.Sub(r.began))
+			if !visit.began.IsZero() && !visit.ended.IsZero() {
+				work += visit.ended.Sub(visit.began)
+			}
 		}
 	}
+	load := work.Seconds() / (span.Seconds() * float64(refusalSlots*len(r.machines)))
 	causes := make(map[string]int)
 	for _, e := range r.fleet.entries {
 		for _, match := range refusalCause.FindAllStringSubmatch(e.output.String(), -1) {
 			causes[match[1]]++
 		}
 	}
-	return fmt.Sprintf("seed %d: %d control, %d entries, %d servers, %d calls, %d violations; statuses %v, without %v; refused after a visit %d, after several %d; visited an address again %d; causes %v; visits %v; faults %v",
-		r.seed, len(r.fleet.control), len(r.fleet.entries), len(r.machines), len(r.calls), len(r.violations), statuses, failures, refusedVisited, refusedOften, sameAddress, causes, counts, r.faults)
+	return fmt.Sprintf("seed %d: %d control, %d entries, %d servers, %d calls, %d violations; load %.2f; statuses %v, without %v; refused after a visit %d, after several %d; visited an address again %d; causes %v; visits %v; faults %v",
+		r.seed, len(r.fleet.control), len(r.fleet.entries), len(r.machines), len(r.calls), len(r.violations), load, statuses, failures, refusedVisited, refusedOften, sameAddress, causes, counts, r.faults)
 }
 
 // report returns the violations, what clients and servers noted of these calls, what the entries logged and the timeline.
