--- a/prover/platform_refusals_test.go
+++ b/prover/platform_refusals_test.go
@@ -23,7 +23,7 @@
 var (
 	refusalSeeds      = flag.String("refusals-seeds", "1", "seeds of the runs, such as 1-50 or 3,7,9")
 	refusalFor        = flag.Duration("refusals-for", 8*time.Second, "how long faults are injected for each seed")
-	refusalFaultNames = flag.String("refusals-faults", "", "comma-separated names of the faults to inject; all when empty, or none")
+	refusalFaultNames = flag.String("refusals-faults", "", "comma-separated names of the faults to inject, or each with a minus of those not to inject; all when empty, or none")
 	refusalOdd        = flag.Bool("refusals-odd", false, "also have servers that contradict themselves about what they ran")
 	refusalKeep       = flag.Bool("refusals-keep", false, "keep the logs of runs that broke no rule")
 	refusalClients    = flag.Int("refusals-clients", 60, "number of clients")
@@ -37,8 +37,7 @@
 
 // refusalRegressions are runs that once failed, by cause. They run in addition to those of -refusals-seeds unless faults are chosen.
 var refusalRegressions = map[string]refusalCase{
-	"restarted servers write their 421 once more":                          {4, "server-herd-misdirects"},
-	"restarted servers refuse before they look for whom, and once more so": {4, "server-herd-refuses"},
+	"restarted servers refuse calls for their predecessors, and write the refusals once more": {4, "server-herd-misdirects,server-herd-refuses"},
 }
 
 // refusalRun is one run under faults that a seed determines. Every verdict comes from what clients and servers noted.
@@ -214,8 +213,11 @@
 		}
 	}
 	for id, sent := range r.calls {
-		if sent.wrong != "" {
+		switch {
+		case sent.wrong != "":
 			found = append(found, fmt.Sprintf("MIXED %s: %s", id, sent.wrong))
+		case sent.signed && !slices.ContainsFunc(r.visits[id], func(v *refusalVisit) bool { return v.status == sent.status }):
+			found = append(found, fmt.Sprintf("MIXED %s: signed, with status %d that no server gave", id, sent.status))
 		}
 	}
 	r.mu.Unlock()
@@ -264,10 +266,13 @@
 func (r *refusalRun) summary() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	statuses := make(map[int]int)
+	statuses, failures := make(map[int]int), make(map[string]int)
 	refusedVisited, refusedOften, sameAddress := 0, 0, 0
 	for id, c := range r.calls {
 		statuses[c.status]++
+		if c.failure != "" && c.style != "half-close" {
+			failures[strings.TrimSpace(c.failure)]++
+		}
 		visits := r.visits[id]
 		if meansRefused(c.status) && len(visits) > 0 {
 			refusedVisited++
@@ -284,19 +289,25 @@
 		}
 	}
 	counts := make(map[string]int)
+	var work, span time.Duration
 	for _, v := range r.visits {
 		for _, visit := range v {
 			counts[visit.action]++
+			span = max(span, visit.head.Sub(r.began))
+			if !visit.began.IsZero() && !visit.ended.IsZero() {
+				work += visit.ended.Sub(visit.began)
+			}
 		}
 	}
+	load := work.Seconds() / (span.Seconds() * float64(refusalSlots*len(r.machines)))
 	causes := make(map[string]int)
 	for _, e := range r.fleet.entries {
 		for _, match := range refusalCause.FindAllStringSubmatch(e.output.String(), -1) {
 			causes[match[1]]++
 		}
 	}
-	return fmt.Sprintf("seed %d: %d control, %d entries, %d servers, %d calls, %d violations; statuses %v; refused after a visit %d, after several %d; visited an address again %d; causes %v; visits %v; faults %v",
-		r.seed, len(r.fleet.control), len(r.fleet.entries), len(r.machines), len(r.calls), len(r.violations), statuses, refusedVisited, refusedOften, sameAddress, causes, counts, r.faults)
+	return fmt.Sprintf("seed %d: %d control, %d entries, %d servers, %d calls, %d violations; load %.2f; statuses %v, without %v; refused after a visit %d, after several %d; visited an address again %d; causes %v; visits %v; faults %v",
+		r.seed, len(r.fleet.control), len(r.fleet.entries), len(r.machines), len(r.calls), len(r.violations), load, statuses, failures, refusedVisited, refusedOften, sameAddress, causes, counts, r.faults)
 }
 
 // report returns the violations, what clients and servers noted of these calls, what the entries logged and the timeline.
