admitter: the count of read deadlines is not changed beside a read

With -race, TestRequests/after_OPTIONS_* failed: net/http ends its read in the background by a deadline in the past while that read goes on, and since both used the count of deadlines of the connection. It is so only for a request without a handler, OPTIONS *, as no deadline is counted while a request is in service; the count of that connection could be wrong, so that a later request in chunks was taken for one with a length as well, or not.

Deadlines that only end a read are no longer counted.

--- a/common/admitter/conn.go
+++ b/common/admitter/conn.go
@@ -180,10 +180,10 @@
 
 // SetReadDeadline implements net.Conn. It replaces the server's timeouts by those of c.timeouts while no request is in service.
 func (c *conn) SetReadDeadline(t time.Time) error {
-	if c.bytes.Load() >= 0 {
+	interrupts := isInterrupt(t)
+	if !interrupts && c.bytes.Load() >= 0 {
 		c.framing.deadlines++
 	}
-	interrupts := isInterrupt(t)
 	if interrupts != c.interrupted.Load() {
 		c.interrupted.Store(interrupts)
 	}
