--- a/prover/platform_refusals_faults_test.go
+++ b/prover/platform_refusals_faults_test.go
@@ -384,8 +384,15 @@
 // stutter freezes an entry for a few milliseconds many times, so that what one of its threads does is interrupted.
 func (r *refusalRun) stutter(rnd *rand.Rand, d time.Duration) {
 	p := r.randomEntry(rnd)
+	if !r.locks[p].TryLock() {
+		return
+	}
+	defer r.locks[p].Unlock()
+	r.logEvent("%s stutters", r.name(p))
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Duration(rnd.IntN(20)) * time.Millisecond) {
-		r.freeze(p, time.Duration(rnd.IntN(40))*time.Millisecond)
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
+		p.resume()
 	}
 }
 
