--- a/prover/platform_refusals_test.go
+++ b/prover/platform_refusals_test.go
@@ -246,6 +246,7 @@
 		}
 	}
 	GinkgoWriter.Println(r.summary())
+	GinkgoWriter.Println(strings.Join(r.unanswered(), "\n"))
 	if len(r.violations) == 0 && !*refusalKeep {
 		_ = os.RemoveAll(r.dir)
 		return
@@ -262,6 +263,20 @@
 // refusalCause finds why an entry refused a call.
 var refusalCause = regexp.MustCompile(`"cause":"([a-z-]+)"`)
 
+// unanswered describes the calls whose connections ended without a response although a server had begun to run them.
+func (r *refusalRun) unanswered() (lines []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, c := range r.calls {
+		i := slices.IndexFunc(r.visits[id], func(v *refusalVisit) bool { return !v.began.IsZero() })
+		if c.failure != "" && c.style != "half-close" && i >= 0 {
+			lines = append(lines, fmt.Sprintf("no response to %s: %s; %s", id, c.describe(r.began), r.visits[id][i].describe(r.began)))
+		}
+	}
+	slices.Sort(lines)
+	return lines
+}
+
 // summary returns the figures of the run in one line.
 func (r *refusalRun) summary() string {
 	r.mu.Lock()
