--- a/prover/platform_refusals_server_test.go
+++ b/prover/platform_refusals_server_test.go
@@ -221,7 +221,7 @@
 
 // writeLater writes a response once more, also when the server is at work on another call of the connection.
 func (c *refusalConn) writeLater(text string) {
-	delay := time.Duration(c.rand.IntN(60)) * time.Millisecond
+	delay := time.Duration(c.rand.IntN(30)) * time.Millisecond
 	if c.rand.IntN(3) == 0 {
 		delay = 0
 	}
