sender: a connection opened for a call's id replaces one that has carried it

What callers would see: a caller that uses one id for all its calls makes the entry open a connection for each of them and keep the earlier ones. The number grows up to MaxOpen, and from then on idle connections of other servers are closed to make room: their next calls wait for a dial.

Cause: since host.take skips idle connections that have carried the request's id and dials, but leaves the skipped ones in the pool.

Evidence: calls one after the other on loopback, all with one id; the idle connections of the server and of another one are counted.

Change: when take dials although it skipped a connection, it closes a skipped one, the one that has been idle longest. Without the rule that connection would have been used, so the number of connections is as before. Such a caller still costs a connection a call.

--- a/peridot-entry/sender/pool.go
+++ b/peridot-entry/sender/pool.go
@@ -138,18 +138,20 @@
 }
 
 // take returns an idle connection that has carried no request whose id has that hash, or reports whether the caller may dial one, which counts
-// as open from then on. With fresh set, only a connection with a response within freshFor is returned. At the limit, the connection that has
-// been idle longest is closed to make room for a new one.
+// as open from then on. With fresh set, only a connection with a response within freshFor is returned. A connection to dial replaces one that was
+// not returned because of the id, or at the limit the one that has been idle longest, which is closed.
 func (h *host) take(id uint64, fresh bool, limit int) (c *conn, dial bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
+	var skipped *conn
 	for i := len(h.idle) - 1; i >= 0; i-- {
 		c = h.idle[i]
 		if fresh && now.Sub(c.lastResponse) > freshFor {
 			break
 		}
 		if c.hasCarried(id) {
+			skipped = c
 			continue
 		}
 		h.idle = slices.Delete(h.idle, i, i+1)
@@ -158,6 +160,10 @@
 		}
 		h.closeConn(c)
 	}
+	if i := slices.Index(h.idle, skipped); i >= 0 {
+		h.idle = slices.Delete(h.idle, i, i+1)
+		h.closeConn(skipped)
+	}
 	if limit > 0 && h.open >= limit && len(h.idle) > 0 {
 		h.closeConn(h.idle[0])
 		h.idle = h.idle[1:]
--- a/peridot-entry/sender/repeat_test.go
+++ b/peridot-entry/sender/repeat_test.go
@@ -132,3 +132,82 @@
 		t.Errorf("the second connection was used from request %d on, want %d", n, maxCalls)
 	}
 }
+
+// Guards against a caller that uses one id for all its calls and so makes the pool grow by a connection with each call, until the idle connections
+// of other servers are closed to make room.
+func TestOneIDForAllCallsUsesOneConnection(t *testing.T) {
+	for name, test := range map[string]struct {
+		fresh   bool
+		maxOpen int
+	}{
+		"no limit":               {},
+		"fresh connections only": {fresh: true},
+		"at the pool's limit":    {maxOpen: 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := New(Config{MaxOpen: test.maxOpen})
+			defer s.Close()
+			one, other := startRepeatServer(t, []string{okResponse}), startRepeatServer(t, []string{okResponse})
+			const inParallel = 8
+			var open []*Response
+			for range inParallel {
+				res, err := s.Do(context.Background(), &Request{Address: other.address, Method: http.MethodGet, Path: "/item"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				open = append(open, res)
+			}
+			for _, res := range open {
+				_, _ = io.Copy(io.Discard, res.Body)
+			}
+			for range 50 {
+				if _, err := doStatus(s, &Request{Address: one.address, Method: http.MethodPost, Path: "/item", ID: "a", FreshConnection: test.fresh}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for address, want := range map[string]int{one.address: 1, other.address: inParallel} {
+				h := s.pool.host(address)
+				h.mu.Lock()
+				if len(h.idle) != want || h.open != want {
+					t.Errorf("%d idle and %d open connections, want %d", len(h.idle), h.open, want)
+				}
+				h.mu.Unlock()
+			}
+			if n := s.pool.open.Load(); n != 1+inParallel {
+				t.Errorf("%d connections are open, want %d", n, 1+inParallel)
+			}
+		})
+	}
+}
+
+// Guards against a skipped connection that is mistaken for another one when unusable connections are removed in the same search.
+func TestSkippedConnectionIsClosed(t *testing.T) {
+	s := New(Config{})
+	defer s.Close()
+	srv := startRepeatServer(t, []string{okResponse})
+	// The first connection will have been idle for too long, and the second one will have carried the id.
+	var open []*Response
+	for _, id := range []string{"old", "a"} {
+		res, err := s.Do(context.Background(), &Request{Address: srv.address, Method: http.MethodPost, Path: "/item", ID: id})
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, res)
+	}
+	for _, res := range open {
+		_, _ = io.Copy(io.Discard, res.Body)
+	}
+	h := s.pool.host(srv.address)
+	h.mu.Lock()
+	skipped := h.idle[1]
+	h.idle[0].maxIdle = 0
+	h.mu.Unlock()
+	if _, err := doStatus(s, &Request{Address: srv.address, Method: http.MethodPost, Path: "/item", ID: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.idle) != 1 || h.open != 1 || h.idle[0] == skipped {
+		t.Errorf("%d idle and %d open connections, want the new one only", len(h.idle), h.open)
+	}
+}
