sender: a response that names a request belongs to no request without an id

What callers would see: on the product's own interface a call gets the response to a probe, with success, and its own response goes to the next call.

Cause: a response that names a request was another's only for requests with an id and for those marked Probe. The prober of the product's own interface sends requests without an id and without that mark. A late copy of a refusal that names a call passed for the response to the prober's request; the server's response to that request then came when the next call was in work, and such calls take a response without an id for their own.

Evidence: bytes on a loopback socket: a refusal that names its call, a copy of it after the prober's request, and then the response to that request.

Change: a response that names a request is a stray for any request without an id. The probe goes on waiting for its own, and its connection isn't used again. ParsePeridotHeaders names a request in refusals only, so that a probe's own responses are taken as before: the new test has a report of the load, a refusal without an id, and a success that carries the id of a call that the server made itself.

Before, TestNamedResponseIsNoResponseToARequestWithoutID failed in its two cases with a copy of a refusal; the three others hold before and after: a_copy_of_a_refusal,_late: match_test.go:343: got "", error <nil>, want none before the deadline a_copy_of_a_refusal,_late: match_test.go:352: the next call got "health", error <nil>, want its own response a_copy_of_a_refusal_first: match_test.go:349: 0 responses were reported as another's, want 1

--- a/peridot-entry/sender/match.go
+++ b/peridot-entry/sender/match.go
@@ -176,7 +176,7 @@
 			return stray
 		}
 		return own
-	case id != "" && e.probe:
+	case id != "":
 		// Probes have no id, so that a response with one is an earlier call's.
 		return stray
 	case e.marker && res.Close && e.info.Server != "" && !e.info.WrongServer && !e.info.Ran:
--- a/peridot-entry/sender/match_test.go
+++ b/peridot-entry/sender/match_test.go
@@ -288,3 +288,69 @@
 		}
 	}
 }
+
+// Guards against a late copy of a refusal that passes for the response to a request without an id, whose own response then passes for the next call's.
+func TestNamedResponseIsNoResponseToARequestWithoutID(t *testing.T) {
+	const (
+		health = "HTTP/1.1 200 OK\r\nPeridot-Load: in-flight=1,slots=2\r\nContent-Length: 6\r\n\r\nhealth"
+		own    = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+		shed   = "HTTP/1.1 503 Full\r\nPeridot-Shed: true\r\nPeridot-Request-Id: a\r\nContent-Length: 0\r\n\r\n"
+		full   = "HTTP/1.1 503 Full\r\nPeridot-Shed: true\r\nPeridot-Load: in-flight=2,slots=2\r\nContent-Length: 0\r\n\r\n"
+		nested = "HTTP/1.1 200 OK\r\nPeridot-Request-Id: other\r\nPeridot-Load: in-flight=1,slots=2\r\nContent-Length: 6\r\n\r\nhealth"
+	)
+	for name, test := range map[string]struct {
+		// texts are what the server writes for the requests of the first connection: a call, a request without an id, another call.
+		texts          []string
+		status, strays int
+		body           string
+	}{
+		"its own":                        {[]string{own, health, own}, http.StatusOK, 0, "health"},
+		"its own refusal":                {[]string{own, full, own}, http.StatusServiceUnavailable, 0, ""},
+		"its own, with an id of another": {[]string{own, nested, own}, http.StatusOK, 0, "health"},
+		"a copy of a refusal, late":      {[]string{shed, shed, health + own}, http.StatusOK, 1, "health"},
+		"a copy of a refusal first":      {[]string{shed, shed + health, own}, http.StatusOK, 1, "health"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			strays := 0
+			s := New(Config{OnStray: func(Stray) { strays++ }})
+			defer s.Close()
+			connections := 0
+			address := startScriptedConns(t, func() func(int, string) string {
+				connections++
+				if connections > 1 {
+					return func(int, string) string { return own }
+				}
+				return func(n int, _ string) string { return test.texts[n] }
+			})
+			do := func(timeout time.Duration, req *Request) (*Response, string, error) {
+				ctx, cancel := context.WithTimeout(context.Background(), timeout)
+				defer cancel()
+				req.Address, req.Method = address, http.MethodPost
+				res, err := s.Do(ctx, req)
+				if err != nil {
+					return nil, "", err
+				}
+				defer res.Body.Close()
+				b, err := io.ReadAll(res.Body)
+				return res, string(b), err
+			}
+			if _, _, err := do(time.Second, &Request{ID: "a", Path: "/item"}); err != nil {
+				t.Fatal(err)
+			}
+			res, body, err := do(200*time.Millisecond, &Request{Path: "/peridot/health", FreshConnection: true})
+			late := test.texts[1] == shed
+			if late && !errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("got %q, error %v, want none before the deadline", body, err)
+			}
+			if !late && (err != nil || res.Status != test.status || body != test.body) {
+				t.Errorf("got %+v with %q, error %v, want status %d with %q", res, body, err, test.status, test.body)
+			}
+			if strays != test.strays {
+				t.Errorf("%d responses were reported as another's, want %d", strays, test.strays)
+			}
+			if _, body, err = do(time.Second, &Request{ID: "c", Path: "/item", FreshConnection: true}); err != nil || body != "own" {
+				t.Errorf("the next call got %q, error %v, want its own response", body, err)
+			}
+		})
+	}
+}
