sender: the end of a connection after a response is no lost connection

What callers would see: a harmless call is refused for 10 minutes at all entries after two servers that stop in order have refused it.

Cause: a refusal without an id that closes the connection, or one followed by a marker without a response, ends the attempt with "unexpected EOF", as does a refusal that is cut in its body. Error.IsConnectionLost took that for a connection lost under the call. The quarantiner then dials the server, and if it has stopped by then, the call counts as in flight in its crash; the second such server contains the call.

Evidence: a real sender and quarantiner on loopback, with two servers that refuse a call and close the connection and their listener.

Change: Error.Answered is true once a refusal's header was read in the exchange, or a whole response that may be the call's. IsConnectionLost is then false. A response other than a refusal that is cut in its body counts as lost as before: the server may have crashed while it ran the call.

--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -213,6 +213,7 @@
 	out.Written = e.conn.endSending()
 	out.Exchange, out.LocalPort, out.Status = e.conn.exchanges, e.conn.localPort(), e.status
 	out.Contradictory = errors.Is(err, errBothWays)
+	out.Answered = len(e.doubts) > 0 || e.status != 0 && e.info.isRefusal()
 	if out.Status == 0 && len(e.doubts) > 0 {
 		out.Status = e.doubts[0].res.StatusCode
 	}
--- a/peridot-entry/sender/sender.go
+++ b/peridot-entry/sender/sender.go
@@ -181,6 +181,8 @@
 	Status int
 	// Contradictory is true when that response says both that the server ran the call and that it did not.
 	Contradictory bool
+	// Answered is true when the header of a refusal of the request was read, or all of a response that may be the request's.
+	Answered bool
 	// Unreachable is true when dialing failed for a reason other than the end of the call's context.
 	Unreachable bool
 	Err         error
@@ -195,9 +197,10 @@
 // IsReused reports whether the connection had carried a request before.
 func (e *Error) IsReused() bool { return e.Exchange > 1 }
 
-// IsConnectionLost reports whether the backend server closed or reset the connection after some of the call had been written.
+// IsConnectionLost reports whether the backend server closed or reset the connection after some of the call had been written and before
+// it responded.
 func (e *Error) IsConnectionLost() bool {
-	if !e.Written {
+	if !e.Written || e.Answered {
 		return false
 	}
 	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
