sender: the wait for the end of a connection behind a marker is bounded

What callers would see: a call that a server refuses without an id waits until its deadline, 504, if the server answers the marker, announces the end of the connection and doesn't close it. An idempotent call has no time left to be tried again.

Cause: the marker proof needs the end of the connection behind the marker's response, and the sender waited for it without a limit of its own.

Evidence: bytes on a loopback socket; the attempt took all of its 5 s.

Change: from the marker's response on, reads fail after closeTimeout, 100 ms, in which a close passes between availability zones several times. The timer interrupts the connection as the end of the call's context does, so that the two can't undo each other's deadline. A close that comes later than 100 ms no longer completes the proof. Without a marker, after a refusal that announces the close itself, the wait is as before: the call's own response may follow.

Before, TestWaitForTheEndOfAConnectionIsBounded failed in two of its four cases (the fifth, with a further refusal, was added with the change): closed_too_late: match_test.go:430: got status 503, error <nil>, want status 0, error the backend server announced the end [...] not_closed: match_test.go:426: the attempt took 5.000129912s of 5s

TestResponseIsMatchedToItsRequest expected the end of the deadline where the server doesn't close; it expects errNotClosed now, no less strictly.

--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -37,6 +37,8 @@
 	dropped int
 	// marker is true once a marker has been sent behind the request; early is true when the request couldn't be written completely.
 	marker, early bool
+	// closeTimer interrupts conn closeTimeout after the response to the marker; nil before.
+	closeTimer *time.Timer
 	// doubts holds the doubtful responses among those dropped.
 	doubts []unnamed
 	// status is that of the response to the request; 0 while there is none.
--- a/peridot-entry/sender/match.go
+++ b/peridot-entry/sender/match.go
@@ -9,10 +9,11 @@
 )
 
 var (
-	errStale    = errors.New("the connection brings answers to other requests")
-	errNotOwn   = errors.New("a response that names no request and may be another's")
-	errUnmarked = errors.New("a response that names no request, and no way to find out whose it is")
-	errBothWays = errors.New("a response that says both that the call was run and that it was not")
+	errStale     = errors.New("the connection brings answers to other requests")
+	errNotOwn    = errors.New("a response that names no request and may be another's")
+	errNotClosed = errors.New("the backend server announced the end of the connection and has not closed it")
+	errUnmarked  = errors.New("a response that names no request, and no way to find out whose it is")
+	errBothWays  = errors.New("a response that says both that the call was run and that it was not")
 )
 
 // match is what a response is to the request that waits for one.
@@ -38,8 +39,16 @@
 // read waits for the header of the response to this request. Responses to other requests are dropped. After a response that may be this
 // request's or another's, it sends a marker and reads on: servers respond to the requests of a connection in order, so that a response which
 // names this request still follows, or else the response to the marker is next and the last one. The server closes the connection after it; as long
-// as the connection is open, a server that responds out of order may be at work on the request.
+// as the connection is open, a server that responds out of order may be at work on the request. It is given closeTimeout to close it.
 func (e *exchange) read(hr *http.Request) (*http.Response, error) {
+	res, err := e.readMatching(hr)
+	if e.closeTimer != nil && !e.closeTimer.Stop() {
+		return nil, errNotClosed
+	}
+	return res, err
+}
+
+func (e *exchange) readMatching(hr *http.Request) (*http.Response, error) {
 	for ; e.dropped < maxStaleResponses; e.dropped++ {
 		res, err := e.readOne(hr)
 		if err != nil {
@@ -91,13 +100,16 @@
 }
 
 // endsAfter discards the response to the marker, which is to be the last one on the connection, and reports whether it is. The error is set when
-// that can't be found out.
+// that can't be found out. From then on, reads fail after closeTimeout.
 func (e *exchange) endsAfter(res *http.Response) (ended bool, err error) {
 	if err = e.drop(res); err != nil {
 		return false, err
 	}
 	start := time.Now()
 	defer func() { e.timing.Wait += time.Since(start) }()
+	if e.closeTimer == nil {
+		e.closeTimer = time.AfterFunc(closeTimeout, e.conn.interrupt)
+	}
 	if _, err = e.conn.reader.Peek(1); err == io.EOF {
 		return true, nil
 	}
--- a/peridot-entry/sender/match_test.go
+++ b/peridot-entry/sender/match_test.go
@@ -127,7 +127,7 @@
 		"refused, the marker by an unnamed server":  {second: refusal, marker: closing, err: context.DeadlineExceeded},
 		"refused, another call's 421 next":          {second: refusal, marker: strings.Replace(wrong, "Server", "Connection: close\r\nServer", 1), err: context.DeadlineExceeded},
 		"refused, the marker's connection kept":     {second: refusal, marker: health, err: context.DeadlineExceeded},
-		"refused, closing is said and not done":     {second: refusal, marker: strings.TrimSuffix(lastHealth, hangUp), err: context.DeadlineExceeded},
+		"refused, closing is said and not done":     {second: refusal, marker: strings.TrimSuffix(lastHealth, hangUp), err: errNotClosed},
 		"the marker's response before its own":      {second: refusal, marker: strings.TrimSuffix(lastHealth, hangUp) + named + hangUp, body: "own", proof: ProofNamed, strays: 1},
 		"the marker's response and a refusal":       {second: refusal, marker: strings.TrimSuffix(lastHealth, hangUp) + refusal + hangUp, err: io.ErrUnexpectedEOF},
 		"its own response like the marker's":        {second: refusal, marker: ranLast + hangUp, err: io.ErrUnexpectedEOF},
@@ -354,3 +354,85 @@
 		})
 	}
 }
+
+// Guards against a call that waits until its deadline for a server that announces the end of the connection and doesn't close it.
+func TestWaitForTheEndOfAConnectionIsBounded(t *testing.T) {
+	const (
+		ok      = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n"
+		refusal = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		last    = "HTTP/1.1 200 OK\r\nServer: i\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+		own     = "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 3\r\n\r\nown"
+	)
+	for name, test := range map[string]struct {
+		// late comes lateAfter behind the response to the marker; hangUp closes the connection.
+		late      string
+		lateAfter time.Duration
+		status    int
+		err       error
+	}{
+		"not closed":                    {err: errNotClosed},
+		"closed late":                   {late: hangUp, lateAfter: closeTimeout / 10, status: http.StatusServiceUnavailable},
+		"closed too late":               {late: hangUp, lateAfter: 4 * closeTimeout, err: errNotClosed},
+		"another refusal, not closed":   {late: refusal, lateAfter: closeTimeout / 10, err: errNotClosed},
+		"its own response, before that": {late: own, lateAfter: closeTimeout / 10, status: http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := New(Config{ParseHeaders: parseMatchHeaders, NamesRequests: true, MarkerPath: func(string) string { return "/health" }})
+			defer s.Close()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for _, text := range []string{ok, refusal, last} {
+					if _, err = http.ReadRequest(r); err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, text)
+				}
+				if test.late != "" {
+					time.Sleep(test.lateAfter)
+					text, closed := strings.CutSuffix(test.late, hangUp)
+					if _, _ = io.WriteString(c, text); closed {
+						return
+					}
+				}
+				_, _ = http.ReadRequest(r)
+			}()
+			const deadline = 5 * time.Second
+			do := func(id string) (int, error) {
+				ctx, cancel := context.WithTimeout(context.Background(), deadline)
+				defer cancel()
+				res, err := s.Do(ctx, &Request{Address: l.Addr().String(), Server: registrar.Key{Service: "s", InstanceID: "i"}, Method: http.MethodPost, Path: "/item", ID: id})
+				if err != nil {
+					return 0, err
+				}
+				defer res.Body.Close()
+				_, err = io.Copy(io.Discard, res.Body)
+				return res.Status, err
+			}
+			if _, err = do("a"); err != nil {
+				t.Fatal(err)
+			}
+			begin := time.Now()
+			status, err := do("b")
+			if took := time.Since(begin); took > deadline/2 {
+				t.Errorf("the attempt took %v of %v", took, deadline)
+			}
+			var se *Error
+			if !errors.Is(err, test.err) || status != test.status {
+				t.Errorf("got status %d, error %v, want status %d, error %v", status, err, test.status, test.err)
+			}
+			if errors.As(err, &se) && (!se.Written || se.IsConnectionLost() || se.Status != http.StatusServiceUnavailable) {
+				t.Errorf("got %+v, want the error of a refused request that may have run", se)
+			}
+		})
+	}
+}
--- a/peridot-entry/sender/sender.go
+++ b/peridot-entry/sender/sender.go
@@ -258,6 +258,9 @@
 	maxStaleResponses = 4
 	// maxStaleBytes limits the body of such a response.
 	maxStaleBytes = 1 << 20
+	// closeTimeout is how long the end of a connection may take to come after the response that announces it: servers close at once, and the
+	// end takes a round trip or a few between availability zones. A request whose connection has not ended by then may have run.
+	closeTimeout = 100 * time.Millisecond
 )
 
 // errCloseDelimited is the error for a response whose body ends with the connection: a truncated one can't be told from a complete one.
