--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -37,6 +37,8 @@
 	dropped int
 	// marker is true once a marker has been sent behind the request; early is true when the request couldn't be written completely.
 	marker, early bool
+	// closeTimer interrupts conn closeTimeout after the response to the marker; nil before.
+	closeTimer *time.Timer
 	// doubts holds the doubtful responses among those dropped.
 	doubts []unnamed
 	// status is that of the response to the request; 0 while there is none.
@@ -213,6 +215,7 @@
 	out.Written = e.conn.endSending()
 	out.Exchange, out.LocalPort, out.Status = e.conn.exchanges, e.conn.localPort(), e.status
 	out.Contradictory = errors.Is(err, errBothWays)
+	out.Answered = len(e.doubts) > 0 || e.status != 0 && e.info.isRefusal()
 	if out.Status == 0 && len(e.doubts) > 0 {
 		out.Status = e.doubts[0].res.StatusCode
 	}
--- a/peridot-entry/sender/sender.go
+++ b/peridot-entry/sender/sender.go
@@ -181,6 +181,8 @@
 	Status int
 	// Contradictory is true when that response says both that the server ran the call and that it did not.
 	Contradictory bool
+	// Answered is true when the header of a refusal of the request was read, or all of a response that may be the request's.
+	Answered bool
 	// Unreachable is true when dialing failed for a reason other than the end of the call's context.
 	Unreachable bool
 	Err         error
@@ -195,9 +197,10 @@
 // IsReused reports whether the connection had carried a request before.
 func (e *Error) IsReused() bool { return e.Exchange > 1 }
 
-// IsConnectionLost reports whether the backend server closed or reset the connection after some of the call had been written.
+// IsConnectionLost reports whether the backend server closed or reset the connection after some of the call had been written and before
+// it responded.
 func (e *Error) IsConnectionLost() bool {
-	if !e.Written {
+	if !e.Written || e.Answered {
 		return false
 	}
 	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
@@ -255,6 +258,9 @@
 	maxStaleResponses = 4
 	// maxStaleBytes limits the body of such a response.
 	maxStaleBytes = 1 << 20
+	// closeTimeout is how long the end of a connection may take to come after the response that announces it: servers close at once, and the
+	// end takes a round trip or a few between availability zones. A request whose connection has not ended by then may have run.
+	closeTimeout = 100 * time.Millisecond
 )
 
 // errCloseDelimited is the error for a response whose body ends with the connection: a truncated one can't be told from a complete one.
