quarantiner: a clearing counts for the crashes that it was made after

Callers would see a request that has crashed two servers, and is refused everywhere, be sent again and crash a third: a clearing, the report that a server has run the request, ended all crashes that the leader had counted before it arrived. An entry sends a report again when the reply is lost, and a member without a leader queues it (requeue) and passes it on later, so that it may arrive after crashes that came after it.

Cause: the clearing named the fingerprint alone. Crashes are sets of incarnations, which copies don't change; a clearing was an event, in force whenever it came.

A clearing now names the crashes that its entry counts, among them those that control lists, and the leader keeps them: they never count, whichever report comes first or again. The request is released when fewer than two of its crashes are left, also of those that an earlier leader counted. Crashes that the clearing's entry hasn't heard of still count until they expire; before, they were ended too. No field is new: Suspect.crashes of a cleared report are the cleared ones, and crashes after them go in a report of their own.

Mixed fleet: a clearing that names nothing, from an earlier entry, clears nothing, so that the request is refused for its 10 minutes; crashes beside such an entry's clearing are taken for cleared, those that follow count. An earlier leader counts the crashes that a clearing names; entries send it once more without crashes, which ends them there. A renewal that ends between the two lets that leader contain the request until the next. An earlier leader still takes copies for new clearings.

Tests that clear by a report without crashes now name them. "two more crashes after it ran" had a crash beside the clearing; it now has the clearing of another crash, then two crashes in two reports, and wants the same.

--- a/peridot-control/quarantiner/quarantiner.go
+++ b/peridot-control/quarantiner/quarantiner.go
@@ -21,6 +21,8 @@
 	maxSuspects = 4096
 	// maxCrashes limits the crashes that are kept of one request.
 	maxCrashes = 8
+	// maxCleared limits the cleared crashes that are kept of one request.
+	maxCleared = 4 * maxCrashes
 )
 
 // Config configures a Quarantiner.
@@ -28,8 +30,8 @@
 	Now func() time.Time
 }
 
-// Report is what an entry has seen of a request: crashes of servers that had it in flight, and whether a server has run it since the
-// crashes reported before.
+// Report is what an entry has seen of a request: crashes of servers that had it in flight or, if Cleared is set, the crashes after which a
+// server has run it.
 type Report struct {
 	arbiter.ContainedRequest
 	Cleared bool
@@ -43,8 +45,6 @@
 	suspects, accused map[string]*suspect
 	// containedSince is when this member first knew of each contained request, which it may have inherited from another leader.
 	containedSince map[string]time.Time
-	// cleared holds the contained requests that a server has run.
-	cleared map[string]bool
 }
 
 // suspect is a request that was in flight when servers crashed.
@@ -52,56 +52,95 @@
 	request   arbiter.ContainedRequest
 	crashes   map[arbiter.Crash]bool
 	lastCrash time.Time
+	// cleared are the crashes after which a server has run the request, the newest last. They never count, in whichever order reports arrive.
+	cleared     []arbiter.Crash
+	lastCleared time.Time
 }
 
 // New returns a Quarantiner.
 func New(cfg Config) *Quarantiner {
 	return &Quarantiner{
 		cfg: cfg, suspects: make(map[string]*suspect), accused: make(map[string]*suspect),
-		containedSince: make(map[string]time.Time), cleared: make(map[string]bool),
+		containedSince: make(map[string]time.Time),
 	}
 }
 
-// Record counts the crashes of reports. A crash that several entries report counts once.
+// Record counts the crashes of reports. A crash that several entries report counts once, one that a report clears doesn't count. Copies of
+// reports and their order make no difference.
 func (q *Quarantiner) Record(reports []Report) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.cfg.Now()
 	for i := range reports {
 		r := &reports[i]
-		if r.Cleared {
-			q.drop(r.Fingerprint)
-			q.cleared[r.Fingerprint] = true
-		}
 		if len(r.Crashes) == 0 {
 			continue
 		}
-		s := q.suspects[r.Fingerprint]
-		if s == nil || now.Sub(s.lastCrash) > Expiry {
-			q.drop(r.Fingerprint)
-			q.dropOldest()
-			s = &suspect{request: r.ContainedRequest, crashes: make(map[arbiter.Crash]bool)}
-			q.suspects[r.Fingerprint] = s
-		}
-		for _, c := range r.Crashes {
-			if !s.crashes[c] && len(s.crashes) < maxCrashes {
-				s.crashes[c] = true
-				s.lastCrash = now
-			}
+		s := q.getOrAddSuspect(r, now)
+		if r.Cleared {
+			s.clear(r.Crashes, now)
+		} else {
+			s.count(r.Crashes, now)
 		}
 		if len(s.crashes) >= crashesToContain {
 			q.accused[r.Fingerprint] = s
-			delete(q.cleared, r.Fingerprint)
+		} else {
+			delete(q.accused, r.Fingerprint)
+		}
+	}
+}
+
+// getOrAddSuspect returns the suspect of a report, without crashes and clearings that have expired. The caller holds mu.
+func (q *Quarantiner) getOrAddSuspect(r *Report, now time.Time) *suspect {
+	s := q.suspects[r.Fingerprint]
+	if s == nil {
+		q.dropOldest()
+		s = &suspect{request: r.ContainedRequest, crashes: make(map[arbiter.Crash]bool)}
+		q.suspects[r.Fingerprint] = s
+	}
+	if now.Sub(s.lastCrash) > Expiry {
+		clear(s.crashes)
+	}
+	if now.Sub(s.lastCleared) > Expiry {
+		s.cleared = nil
+	}
+	return s
+}
+
+func (s *suspect) count(crashes []arbiter.Crash, now time.Time) {
+	for _, c := range crashes {
+		if !s.crashes[c] && !slices.Contains(s.cleared, c) && len(s.crashes) < maxCrashes {
+			s.crashes[c] = true
+			s.lastCrash = now
 		}
 	}
 }
 
-// dropOldest makes room for another suspect: it drops an eighth of them, those whose last crashes are the oldest.
+func (s *suspect) clear(crashes []arbiter.Crash, now time.Time) {
+	for _, c := range crashes {
+		delete(s.crashes, c)
+		if !slices.Contains(s.cleared, c) {
+			s.cleared = append(s.cleared, c)
+			s.lastCleared = now
+		}
+	}
+	s.cleared = slices.Delete(s.cleared, 0, max(len(s.cleared)-maxCleared, 0))
+}
+
+// lastChange returns the time of the last crash, or of the last clearing when that is later.
+func (s *suspect) lastChange() time.Time {
+	if s.lastCleared.After(s.lastCrash) {
+		return s.lastCleared
+	}
+	return s.lastCrash
+}
+
+// dropOldest makes room for another suspect: it drops an eighth of them, those that have not changed for longest.
 func (q *Quarantiner) dropOldest() {
 	if len(q.suspects) < maxSuspects {
 		return
 	}
-	list := slices.SortedFunc(maps.Values(q.suspects), func(a, b *suspect) int { return a.lastCrash.Compare(b.lastCrash) })
+	list := slices.SortedFunc(maps.Values(q.suspects), func(a, b *suspect) int { return a.lastChange().Compare(b.lastChange()) })
 	for _, s := range list[:maxSuspects/8] {
 		q.drop(s.request.Fingerprint)
 	}
@@ -125,7 +164,7 @@
 		if q.containedSince[f].IsZero() {
 			q.containedSince[f] = now
 		}
-		if q.cleared[f] || !now.Before(q.end(f)) {
+		if q.isCleared(&held.Requests[i]) || !now.Before(q.end(f)) {
 			c.Released = append(c.Released, f)
 		}
 	}
@@ -134,11 +173,6 @@
 			delete(q.containedSince, f)
 		}
 	}
-	for f := range q.cleared {
-		if !isHeld[f] {
-			delete(q.cleared, f)
-		}
-	}
 	for f, s := range q.accused {
 		if !isHeld[f] && now.Before(q.end(f)) {
 			c.Contained = append(c.Contained, s.contained())
@@ -150,10 +184,26 @@
 	return c
 }
 
+// isCleared reports whether too few crashes of a contained request are left to contain it, of those known here and those that another leader
+// counted. The caller holds mu.
+func (q *Quarantiner) isCleared(r *arbiter.ContainedRequest) bool {
+	s := q.suspects[r.Fingerprint]
+	if s == nil || len(s.cleared) == 0 {
+		return false
+	}
+	left := len(s.crashes)
+	for _, c := range r.Crashes {
+		if !s.crashes[c] && !slices.Contains(s.cleared, c) {
+			left++
+		}
+	}
+	return left < crashesToContain
+}
+
 // end returns when the containment of a request ends. The caller holds mu.
 func (q *Quarantiner) end(fingerprint string) time.Time {
 	s := q.suspects[fingerprint]
-	if s == nil {
+	if s == nil || len(s.crashes) == 0 {
 		return q.containedSince[fingerprint].Add(Expiry)
 	}
 	if q.isOnlySuspect(s) {
--- a/peridot-control/quarantiner/quarantiner_test.go
+++ b/peridot-control/quarantiner/quarantiner_test.go
@@ -64,9 +64,16 @@
 			}
 		}, false},
 		"two crashes, seen by two entries": {func(s *simulation) { s.report("f", false, "a"); s.report("f", false, "b") }, true},
-		"a server ran it in between":       {func(s *simulation) { s.report("f", false, "a"); s.report("f", true); s.report("f", false, "b") }, false},
-		"a server ran it after":            {func(s *simulation) { s.report("f", false, "a", "b"); s.report("f", true) }, false},
-		"two more crashes after it ran":    {func(s *simulation) { s.report("f", true, "a"); s.report("f", false, "b") }, true},
+		"a server ran it in between":       {func(s *simulation) { s.report("f", false, "a"); s.report("f", true, "a"); s.report("f", false, "b") }, false},
+		"a server ran it after":            {func(s *simulation) { s.report("f", false, "a", "b"); s.report("f", true, "a", "b") }, false},
+		"two more crashes after it ran":    {func(s *simulation) { s.report("f", true, "x"); s.report("f", false, "a"); s.report("f", false, "b") }, true},
+		"a server ran it after one of two": {func(s *simulation) { s.report("f", false, "a", "b"); s.report("f", true, "a") }, false},
+		"cleared under another leader": {func(s *simulation) {
+			s.report("f", false, "a", "b")
+			s.elect()
+			s.commit()
+			s.report("f", true, "a", "b")
+		}, false},
 		"crashes long apart": {func(s *simulation) {
 			s.report("f", false, "a")
 			s.now = s.now.Add(Expiry + time.Second)
@@ -134,3 +141,56 @@
 		t.Errorf("%d crashes, want at most %d", n, maxCrashes)
 	}
 }
+
+// A clearing that arrives once more, or late, must not release a request that has crashed servers since; a crash that arrives after its
+// clearing must not count.
+func TestLateReportsDoNotOutweighLaterOnes(t *testing.T) {
+	tests := map[string]struct {
+		steps func(s *simulation)
+		want  bool
+	}{
+		"the clearing of earlier crashes comes again": {func(s *simulation) {
+			s.report("f", false, "a")
+			s.report("f", true, "a")
+			s.report("f", false, "b", "c")
+			s.report("f", true, "a")
+		}, true},
+		"the clearing of earlier crashes comes again at a new leader": {func(s *simulation) {
+			s.report("f", true, "a")
+			s.report("f", false, "b", "c")
+			s.elect()
+			s.report("f", true, "a")
+		}, true},
+		"a clearing that names no crash": {func(s *simulation) { s.report("f", false, "b", "c"); s.report("f", true) }, true},
+		"a clearing comes before its crash": {func(s *simulation) {
+			s.report("f", true, "a")
+			s.report("f", false, "a")
+			s.report("f", false, "b")
+		}, false},
+		"a cleared crash comes again": {func(s *simulation) {
+			s.report("f", false, "a", "b")
+			s.report("f", true, "a", "b")
+			s.report("f", false, "a", "b")
+		}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation()
+			test.steps(s)
+			if got := s.isContained("f"); got != test.want {
+				t.Errorf("contained is %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against cleared crashes that pile up at the leader.
+func TestClearedCrashesAreBounded(t *testing.T) {
+	s := newSimulation()
+	for i := range 2 * maxCleared {
+		s.report("f", true, fmt.Sprint(i))
+	}
+	if n := len(s.q.suspects["f"].cleared); n > maxCleared {
+		t.Errorf("%d cleared crashes, want at most %d", n, maxCleared)
+	}
+}
--- a/peridot-entry/quarantiner/quarantiner.go
+++ b/peridot-entry/quarantiner/quarantiner.go
@@ -97,8 +97,8 @@
 	// suspects are keyed by fingerprint.
 	suspects map[string]*suspect
 	locks    map[serverIncarnation]*serverLock
-	// unreported holds, by fingerprint, what control has not acknowledged.
-	unreported map[string]*CrashReport
+	// unreported holds what control has not acknowledged.
+	unreported map[reportKey]*CrashReport
 
 	wake   chan struct{}
 	cancel context.CancelFunc
@@ -117,7 +117,7 @@
 		possibleCrashes: make(map[serverIncarnation]*possibleCrash),
 		suspects:        make(map[string]*suspect),
 		locks:           make(map[serverIncarnation]*serverLock),
-		unreported:      make(map[string]*CrashReport),
+		unreported:      make(map[reportKey]*CrashReport),
 		wake:            make(chan struct{}, 1),
 		cancel:          cancel,
 	}
@@ -313,8 +313,8 @@
 	s := q.suspects[fingerprint]
 	cleared := s != nil && (len(s.crashes) > 0 || s.listed)
 	if cleared {
-		s.clear(q.cfg.Now())
 		q.reportCleared(s)
+		s.clear(q.cfg.Now())
 	}
 	q.mu.Unlock()
 	if cleared {
--- a/peridot-entry/quarantiner/report.go
+++ b/peridot-entry/quarantiner/report.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -11,38 +12,52 @@
 	Incarnation uint64
 }
 
-// CrashReport is what this entry has seen of a request: the crashes of servers that had it in flight, and whether a server has run it since the
-// crashes reported before.
+// CrashReport is what this entry has seen of a request: the crashes of servers that had it in flight or, if Cleared is set, the crashes after
+// which a server has run it.
 type CrashReport struct {
 	Fingerprint, Service, Method, Path string
 	Crashes                            []Crash
 	Cleared                            bool
 }
 
+// reportKey identifies an unreported report.
+type reportKey struct {
+	fingerprint string
+	cleared     bool
+}
+
+func (r *CrashReport) key() reportKey { return reportKey{r.Fingerprint, r.Cleared} }
+
 // maxReports limits the reports that are passed to control at a time.
 const maxReports = 256
 
 // reportCrash adds a crash to the reports. The caller holds mu.
 func (q *Quarantiner) reportCrash(s *suspect, c crash) {
-	q.report(s, func(r *CrashReport) { r.Crashes = append(r.Crashes, Crash{c.instanceID, c.incarnation}) })
+	q.report(s, false, c)
 }
 
-// reportCleared adds to the reports that a server has run the request. The caller holds mu.
+// reportCleared adds to the reports that a server has run the request after the crashes that count here: a copy of the report that arrives late
+// must not clear later ones. The caller holds mu.
 func (q *Quarantiner) reportCleared(s *suspect) {
-	q.report(s, func(r *CrashReport) { r.Cleared, r.Crashes = true, nil })
+	delete(q.unreported, reportKey{s.fingerprint, false})
+	q.report(s, true, slices.Collect(maps.Keys(s.crashes))...)
 }
 
-// report replaces the report of a suspect by a changed copy, because Reports may have returned it.
-func (q *Quarantiner) report(s *suspect, change func(*CrashReport)) {
-	if q.cfg.OnReport == nil {
+// report replaces the report of a suspect by one with more crashes, because Reports may have returned it.
+func (q *Quarantiner) report(s *suspect, cleared bool, crashes ...crash) {
+	if q.cfg.OnReport == nil || len(crashes) == 0 {
 		return
 	}
-	r := CrashReport{Fingerprint: s.fingerprint, Service: s.service, Method: s.method, Path: s.path}
-	if old := q.unreported[s.fingerprint]; old != nil {
-		r.Crashes, r.Cleared = slices.Clone(old.Crashes), old.Cleared
+	r := CrashReport{Fingerprint: s.fingerprint, Service: s.service, Method: s.method, Path: s.path, Cleared: cleared}
+	if old := q.unreported[r.key()]; old != nil {
+		r.Crashes = slices.Clone(old.Crashes)
+	}
+	for _, c := range crashes {
+		if named := (Crash{c.instanceID, c.incarnation}); !slices.Contains(r.Crashes, named) {
+			r.Crashes = append(r.Crashes, named)
+		}
 	}
-	change(&r)
-	q.unreported[s.fingerprint] = &r
+	q.unreported[r.key()] = &r
 }
 
 // Reports returns what has to be reported to control. The caller passes it to Acknowledge once control has it, and must not change it.
@@ -50,12 +65,20 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, r := range q.unreported {
-		if len(reports) == maxReports {
-			break
-		}
 		reports = append(reports, r)
 	}
-	return reports
+	// Control members of earlier builds let a clearing end all crashes that they have counted before it.
+	slices.SortFunc(reports, func(a, b *CrashReport) int {
+		switch {
+		case a.Cleared == b.Cleared:
+			return 0
+		case a.Cleared:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return reports[:min(len(reports), maxReports)]
 }
 
 // Acknowledge removes reports that control has received, unless there is more to report of their requests since.
@@ -63,8 +86,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, r := range reports {
-		if q.unreported[r.Fingerprint] == r {
-			delete(q.unreported, r.Fingerprint)
+		if q.unreported[r.key()] == r {
+			delete(q.unreported, r.key())
 		}
 	}
 }
--- a/peridot-entry/quarantiner/report_test.go
+++ b/peridot-entry/quarantiner/report_test.go
@@ -155,6 +155,24 @@
 		Expect(r.Reports()[0].Cleared).To(BeTrue())
 	})
 
+	// Guards against a report that a server has run a request, which is passed on late and clears crashes after that.
+	It("names the crashes that a response clears, and reports later ones after them", func() {
+		r := newReporting()
+		Expect(r.send(request("a", "s"))).NotTo(Succeed())
+		r.SetContained([]CrashReport{{Fingerprint: Fingerprint(request("a", "s")), Crashes: []Crash{{"x", 1}}}})
+		r.handleResponse(request("b", "s"))
+		r.advance(time.Second)
+		Expect(r.send(request("c", "s"))).NotTo(Succeed())
+		reports := r.Reports()
+		Expect(reports).To(HaveLen(2))
+		Expect(reports[0].Cleared).To(BeTrue())
+		Expect(reports[0].Crashes).To(ConsistOf(Crash{"a", 1}, Crash{"x", 1}))
+		Expect(reports[1].Cleared).To(BeFalse())
+		Expect(reports[1].Crashes).To(ConsistOf(Crash{"c", 1}))
+		r.Acknowledge(reports)
+		Expect(r.Reports()).To(BeEmpty())
+	})
+
 	// Guards against a reset connection, as full servers cause, that hides a crash of the same server soon after it.
 	It("checks again when another connection to the same server is lost later", func() {
 		r := newReporting()
--- a/peridot-entry/supervisor/watch.go
+++ b/peridot-entry/supervisor/watch.go
@@ -55,6 +55,10 @@
 			continue
 		}
 		out = append(out, m)
+		if r.Cleared {
+			// Control members of earlier builds count the crashes that a clearing names, until one without crashes follows.
+			out = append(out, &delivererpb.Suspect{Fingerprint: m.Fingerprint, Cleared: true})
+		}
 	}
 	s.dropReports(dropped)
 	return out
--- a/peridot-entry/supervisor/watch_test.go
+++ b/peridot-entry/supervisor/watch_test.go
@@ -68,6 +68,15 @@
 	}
 }
 
+// A control member of an earlier build counts the crashes that a clearing names, and would contain a request that a server has run.
+func TestClearingEndsForEarlierControlMembers(t *testing.T) {
+	s := &Routed{}
+	list := s.encodeReports([]*quarantiner.CrashReport{{Fingerprint: "f", Cleared: true, Crashes: []quarantiner.Crash{{InstanceID: "a", Incarnation: 1}}}, {Fingerprint: "g"}})
+	if len(list) != 3 || len(list[0].Crashes) != 1 || list[1].Fingerprint != "f" || !list[1].Cleared || len(list[1].Crashes) > 0 || list[2].Fingerprint != "g" {
+		t.Errorf("the reports are %v, want the clearing of f twice, first with its crash, and g", list)
+	}
+}
+
 // An entry whose watches fail must not fill its log, and must say once that this won't end by itself.
 func TestWatchErrorsAreLogged(t *testing.T) {
 	scope := tally.NewTestScope("", nil)
