scout: only a server's own response to a probe counts for it

What callers would see: calls go to a server that has ended, for a refusal each, which costs the call an attempt and a round trip; a service whose probes pause, for ten seconds each time, so that its calls are sent by old load reports.

Cause: the check that a response is the server's own, by its name, was made for reachability, the warm-up and draining, not for the load report, the pause, the limit and the missing report. A probe of an ended server is answered by the process that has its address now, under another instance id; its load report restores the ended one in the picker, and a 200 without a report pauses the probes of the service.

Change: the scout decides once whether the response is the server's own: it names that server or none, and is no refusal by another one. One that isn't passes nothing on, counts as no answer for the call, and its body is read so that the connection stays usable. If it doesn't name the server, the server is unreachable, as after a call, which keeps it out of the choice until it responds itself. Draining needs the exact name as before. The marks are by instance id, so the new server at the address keeps its own. OnUnreachable may be nil, like the other callbacks.

--- a/peridot-entry/scout/scout.go
+++ b/peridot-entry/scout/scout.go
@@ -40,7 +40,7 @@
 	ExtraPerCall func(service string) float64
 	// HasSuitable reports whether one of the probed servers is suitable for the call, so that no others need be probed; nil for always.
 	HasSuitable func(r picker.Request, probed []registrar.Key) bool
-	// OnUnreachable is called with a server to which no connection could be opened.
+	// OnUnreachable is called with a server to which no connection could be opened or whose address another server has; may be nil.
 	OnUnreachable func(registrar.Key)
 	// OnReachable is called with each server that responded to a probe; may be nil.
 	OnReachable func(registrar.Key)
@@ -244,7 +244,7 @@
 	}
 	if err != nil {
 		if errors.As(err, &se) && se.Unreachable {
-			s.cfg.OnUnreachable(server.Key())
+			s.recordUnreachable(server)
 		}
 		if s.cfg.OnUnanswered != nil && ctx.Err() != nil {
 			s.cfg.OnUnanswered(server.Key())
@@ -252,9 +252,14 @@
 		return false
 	}
 	defer res.Body.Close()
-	s.recordHeader(server, res)
+	own := isOwn(server, res)
+	if own {
+		s.recordHeader(server, res)
+	} else if res.Server != server.InstanceID {
+		s.recordUnreachable(server)
+	}
 	// The connection can be reused only after the body has been read to its end.
-	if _, err = io.Copy(io.Discard, res.Body); err != nil {
+	if _, err = io.Copy(io.Discard, res.Body); err != nil || !own {
 		return false
 	}
 	if res.Load == nil {
@@ -265,7 +270,19 @@
 	return true
 }
 
-// recordHeader passes on what the header of a response to a probe says, apart from the load.
+// isOwn reports whether the server itself sent the response to a probe. Another one may have taken over its address; not all services' servers
+// name themselves.
+func isOwn(server *registrar.Server, res *sender.Response) bool {
+	return !res.WrongServer && (res.Server == "" || res.Server == server.InstanceID)
+}
+
+func (s *Scout) recordUnreachable(server *registrar.Server) {
+	if s.cfg.OnUnreachable != nil {
+		s.cfg.OnUnreachable(server.Key())
+	}
+}
+
+// recordHeader passes on what the header of a server's own response to a probe says, apart from the load.
 func (s *Scout) recordHeader(server *registrar.Server, res *sender.Response) {
 	if s.cfg.OnRateLimit != nil && res.RateLimit.Named {
 		s.cfg.OnRateLimit(server.Key(), res.RateLimit)
@@ -273,14 +290,14 @@
 	if s.cfg.OnPause != nil && res.RetryAfter > 0 {
 		s.cfg.OnPause(server.Key(), res.RetryAfter)
 	}
-	// The address may have been taken over by another server.
+	// Only an announcement takes back that a server drains, so the response has to name the server.
 	if s.cfg.OnDraining != nil && res.Draining && res.Server == server.InstanceID {
 		s.cfg.OnDraining(server.Key())
 	}
-	if s.cfg.OnWarmUp != nil && res.WarmUp != nil && !res.WrongServer && (res.Server == "" || res.Server == server.InstanceID) {
+	if s.cfg.OnWarmUp != nil && res.WarmUp != nil {
 		s.cfg.OnWarmUp(server.Key(), *res.WarmUp)
 	}
-	if s.cfg.OnReachable != nil && !res.WrongServer && (res.Server == "" || res.Server == server.InstanceID) {
+	if s.cfg.OnReachable != nil {
 		s.cfg.OnReachable(server.Key())
 	}
 }
