picker, scout: a probe counts only for the incarnation that was probed

What callers would see: calls are refused, or crowd on the other servers, although a server that has started again under its instance id is ready. A wrong "drains" lasts until an announcement says otherwise: without another server, the service answers that no server may take the call.

Cause: the results of probes were passed on by instance id. A probe takes up to 150 ms (500 ms those of the prober); if the entry learns of the next incarnation meanwhile, the result marks that one as draining, paused, limited, unreachable or faulty, or ends the next one's ejection. Faults and limits were then reported to the other entries under the new incarnation.

Change: the picker's methods for results of probes take the server as it was probed and find its state in one place by instance id and incarnation, under the lock under which the list is taken over; a result for an incarnation that isn't listed any more is dropped. The scout and the prober pass on the server that they probed. Results for servers in evacuated zones that say that they respond or are cold count too, as the others did. Load reports that other entries relay name no incarnation and count for the listed one as before.

The tests that called the methods with a key pass the server now, with its incarnation; what they check is unchanged.

--- a/peridot-entry/picker/cold.go
+++ b/peridot-entry/picker/cold.go
@@ -44,20 +44,13 @@
 }
 
 // ObserveWarmUp records how long a server will still be cold, as its response to a probe says; 0 ends its warm-up.
-func (p *Picker) ObserveWarmUp(k registrar.Key, left time.Duration) {
-	g := p.group(k.Service)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := p.cfg.Now()
-	for _, s := range g.servers {
-		if s.announced.InstanceID != k.InstanceID {
-			continue
-		}
+func (p *Picker) ObserveWarmUp(probed *registrar.Server, left time.Duration) {
+	p.updateProbed(probed, func(_ *group, s *server, now time.Time) {
 		if left <= 0 && s.isCold(now) {
 			s.coldUntil = now
 		}
 		s.extendWarmUp(left, now)
-	}
+	})
 }
 
 // limitsCold reports whether the calls per second at a cold server of the service are limited.
--- a/peridot-entry/picker/cold_test.go
+++ b/peridot-entry/picker/cold_test.go
@@ -177,9 +177,9 @@
 		"the same announcement again":  {coldRate, announce(1, d), d, false},
 		"announced with the time left": {coldRate, announce(2, d-time.Second), d, false},
 		"a response says that it is cold again": {
-			coldRate, func(h *harness) { h.now = h.now.Add(d); h.ObserveWarmUp(h.servers[0].Key(), d) }, d - 1, true,
+			coldRate, func(h *harness) { h.now = h.now.Add(d); h.ObserveWarmUp(&h.servers[0], d) }, d - 1, true,
 		},
-		"a response says that it is warm": {coldRate, func(h *harness) { h.ObserveWarmUp(h.servers[0].Key(), 0) }, 0, false},
+		"a response says that it is warm": {coldRate, func(h *harness) { h.ObserveWarmUp(&h.servers[0], 0) }, 0, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/peridot-entry/picker/draining.go
+++ b/peridot-entry/picker/draining.go
@@ -1,6 +1,10 @@
 package picker
 
-import "peridotswitch.example/peridot-entry/registrar"
+import (
+	"time"
+
+	"peridotswitch.example/peridot-entry/registrar"
+)
 
 // MarkDraining records that the server has said in the header of its response that it drains. The attempt need not have ended.
 func (c *Choice) MarkDraining() {
@@ -13,15 +17,8 @@
 }
 
 // MarkDraining records that a server has said in its response to a probe that it drains.
-func (p *Picker) MarkDraining(k registrar.Key) {
-	g := p.group(k.Service)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, s := range g.announced() {
-		if s.announced.InstanceID == k.InstanceID {
-			g.markDraining(s)
-		}
-	}
+func (p *Picker) MarkDraining(probed *registrar.Server) {
+	p.updateProbed(probed, func(g *group, s *server, _ time.Time) { g.markDraining(s) })
 }
 
 // markDraining keeps calls away from an incarnation of a server. Its own word counts beside its announcements, which may reach this entry
--- a/peridot-entry/picker/draining_test.go
+++ b/peridot-entry/picker/draining_test.go
@@ -16,7 +16,7 @@
 		return []registrar.Server{{Service: "s", InstanceID: "a", Incarnation: incarnation, Sequence: sequence, Slots: 6, Connections: 100, State: state}}
 	}
 	says := func(c *Choice, _ *Picker) { c.MarkDraining() }
-	probed := func(c *Choice, p *Picker) { p.MarkDraining(c.Server.Key()) }
+	probed := func(c *Choice, p *Picker) { p.MarkDraining(&c.Server) }
 	closes := func(c *Choice, _ *Picker) {
 		c.Done(Result{Status: http.StatusOK, Closing: true})
 	}
--- a/peridot-entry/picker/evacuation_test.go
+++ b/peridot-entry/picker/evacuation_test.go
@@ -50,7 +50,7 @@
 		}}},
 		"servers that nobody could reach": {func(h *harness) {
 			for _, s := range h.servers {
-				h.MarkUnreachable(s.Key())
+				h.MarkUnreachable(&s)
 			}
 			h.now = h.now.Add(2 * maxEjectionTime)
 		}, Request{}},
@@ -188,7 +188,7 @@
 				t.Errorf("%d calls in flight at the evacuated server, want 1", n)
 			}
 			h.Observe(inFlight.Server.Key(), sender.Load{InFlight: 5, Slots: 6})
-			h.MarkDraining(inFlight.Server.Key())
+			h.MarkDraining(&inFlight.Server)
 			inFlight.Done(Result{Status: http.StatusOK})
 			if n := inFlightAt(); n != 0 {
 				t.Errorf("%d calls in flight at the evacuated server after the last has ended", n)
--- a/peridot-entry/picker/pause.go
+++ b/peridot-entry/picker/pause.go
@@ -33,15 +33,8 @@
 }
 
 // Pause records that a server has asked in its response to a probe for no calls during d.
-func (p *Picker) Pause(k registrar.Key, d time.Duration) {
-	g := p.group(k.Service)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, s := range g.announced() {
-		if s.announced.InstanceID == k.InstanceID {
-			g.pause(s, d, p.cfg.Now())
-		}
-	}
+func (p *Picker) Pause(probed *registrar.Server, d time.Duration) {
+	p.updateProbed(probed, func(g *group, s *server, now time.Time) { g.pause(s, d, now) })
 }
 
 // pause keeps calls and probes away from a server. A shorter pause doesn't end a longer one.
--- a/peridot-entry/picker/picker.go
+++ b/peridot-entry/picker/picker.go
@@ -250,25 +250,21 @@
 	return false
 }
 
-// Observe records a load report that did not come with the response to a call, such as the result of a probe.
+// Observe records a load report that another entry has relayed, which names no incarnation.
 func (p *Picker) Observe(k registrar.Key, load sender.Load) {
 	g := p.group(k.Service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, s := range g.announced() {
 		if s.announced.InstanceID == k.InstanceID {
-			s.recordLoad(load, 0, p.cfg.Now())
-			g.endSilence(s, p.cfg.Now())
-			if s.unreachable {
-				s.restore()
-			}
+			g.observe(s, load, p.cfg.Now())
 		}
 	}
 }
 
-// MarkUnreachable ejects a server to which no connection could be opened, which counts as a fault.
-func (p *Picker) MarkUnreachable(k registrar.Key) {
-	p.recordProbeFault(k, func(_ *group, s *server, now time.Time) bool {
+// MarkUnreachable ejects a server that a probe could not reach, which counts as a fault.
+func (p *Picker) MarkUnreachable(probed *registrar.Server) {
+	p.recordProbeFault(probed, func(_ *group, s *server, now time.Time) bool {
 		if !s.unreachable {
 			s.unreachable = true
 			s.eject(now)
@@ -278,22 +274,18 @@
 }
 
 // MarkUnanswered counts a probe that a server did not answer as a fault, unless the server may be full.
-func (p *Picker) MarkUnanswered(k registrar.Key) {
-	p.recordProbeFault(k, func(g *group, s *server, now time.Time) bool { return !g.mayBeFull(s, now) })
+func (p *Picker) MarkUnanswered(probed *registrar.Server) {
+	p.recordProbeFault(probed, func(g *group, s *server, now time.Time) bool { return !g.mayBeFull(s, now) })
 }
 
 // recordProbeFault counts a fault of a server if isFault returns true.
-func (p *Picker) recordProbeFault(k registrar.Key, isFault func(g *group, s *server, now time.Time) bool) {
-	g := p.group(k.Service)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := p.cfg.Now()
-	for _, s := range g.announced() {
-		if s.announced.InstanceID == k.InstanceID && isFault(g, s, now) {
+func (p *Picker) recordProbeFault(probed *registrar.Server, isFault func(g *group, s *server, now time.Time) bool) {
+	p.updateProbed(probed, func(g *group, s *server, now time.Time) {
+		if isFault(g, s, now) {
 			s.unreported++
 			g.addFaults(s, 1, now)
 		}
-	}
+	})
 }
 
 func (p *Picker) group(service string) *group {
--- a/peridot-entry/picker/ratelimit.go
+++ b/peridot-entry/picker/ratelimit.go
@@ -161,18 +161,11 @@
 }
 
 // ObserveRateLimit records a limit that a server named in its response to a probe.
-func (p *Picker) ObserveRateLimit(k registrar.Key, limit sender.RateLimit) {
+func (p *Picker) ObserveRateLimit(probed *registrar.Server, limit sender.RateLimit) {
 	if !limit.Named {
 		return
 	}
-	g := p.group(k.Service)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, s := range g.announced() {
-		if s.announced.InstanceID == k.InstanceID {
-			g.setRateLimit(s, limit, false, p.cfg.Now())
-		}
-	}
+	p.updateProbed(probed, func(g *group, s *server, now time.Time) { g.setRateLimit(s, limit, false, now) })
 }
 
 // take returns the limit if other entries have to be told of it, and marks it as reported.
--- a/peridot-entry/picker/sim_test.go
+++ b/peridot-entry/picker/sim_test.go
@@ -316,9 +316,9 @@
 		for _, b := range stale {
 			switch i := s.index(b.InstanceID); {
 			case s.isSilent():
-				s.after(simProbeTimeout, func() { p.MarkUnanswered(b.Key()) })
+				s.after(simProbeTimeout, func() { p.MarkUnanswered(&b) })
 			case !s.servers[i].unreachable:
-				p.Observe(b.Key(), s.load(i))
+				p.ObserveProbe(&b, s.load(i))
 			}
 		}
 	})
--- a/peridot-entry/picker/stale.go
+++ b/peridot-entry/picker/stale.go
@@ -42,13 +42,10 @@
 }
 
 // MarkReachable ends the ejection of a server to which no connection could be opened, after a response from it to a probe.
-func (p *Picker) MarkReachable(k registrar.Key) {
-	g := p.group(k.Service)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, s := range g.servers {
-		if s.announced.InstanceID == k.InstanceID && s.unreachable {
+func (p *Picker) MarkReachable(probed *registrar.Server) {
+	p.updateProbed(probed, func(_ *group, s *server, _ time.Time) {
+		if s.unreachable {
 			s.restore()
 		}
-	}
+	})
 }
--- a/peridot-entry/picker/stale_test.go
+++ b/peridot-entry/picker/stale_test.go
@@ -72,10 +72,10 @@
 // Each estimate that keeps calls away and that only calls or probes could correct must end by itself, or a service stays without traffic
 // after its servers have recovered.
 func TestEstimatesEndWithoutTraffic(t *testing.T) {
-	each := func(f func(h *harness, k registrar.Key)) func(t *testing.T, h *harness) {
+	each := func(f func(h *harness, s *registrar.Server)) func(t *testing.T, h *harness) {
 		return func(_ *testing.T, h *harness) {
 			for i := range h.servers {
-				f(h, h.servers[i].Key())
+				f(h, &h.servers[i])
 			}
 		}
 	}
@@ -95,15 +95,15 @@
 		within time.Duration
 	}{
 		"full by refusals":      {results(Result{Shed: true, Err: errors.New("shed")}), time.Second},
-		"full by load reports":  {each(func(h *harness, k registrar.Key) { h.Observe(k, sender.Load{InFlight: 20, Slots: 6}) }), 8 * time.Second},
+		"full by load reports":  {each(func(h *harness, s *registrar.Server) { h.Observe(s.Key(), sender.Load{InFlight: 20, Slots: 6}) }), 8 * time.Second},
 		"closing":               {results(Result{Shed: true, Closing: true, Err: errors.New("shed")}), 5 * time.Second},
-		"paused":                {each(func(h *harness, k registrar.Key) { h.Pause(k, 2*time.Second) }), 4 * time.Second},
+		"paused":                {each(func(h *harness, s *registrar.Server) { h.Pause(s, 2*time.Second) }), 4 * time.Second},
 		"failing":               {results(Result{Status: http.StatusInternalServerError}), 20 * time.Second},
 		"unreachable by calls":  {results(Result{Unreachable: true, Err: errors.New("refused")}), 20 * time.Second},
-		"unreachable by probes": {each(func(h *harness, k registrar.Key) { h.MarkUnreachable(k) }), 20 * time.Second},
-		"unanswered probes":     {each(func(h *harness, k registrar.Key) { h.MarkUnanswered(k) }), 20 * time.Second},
-		"a rate limit of 0": {each(func(h *harness, k registrar.Key) {
-			h.ObserveRateLimit(k, sender.RateLimit{Named: true})
+		"unreachable by probes": {each(func(h *harness, s *registrar.Server) { h.MarkUnreachable(s) }), 20 * time.Second},
+		"unanswered probes":     {each(func(h *harness, s *registrar.Server) { h.MarkUnanswered(s) }), 20 * time.Second},
+		"a rate limit of 0": {each(func(h *harness, s *registrar.Server) {
+			h.ObserveRateLimit(s, sender.RateLimit{Named: true})
 		}), limitHold},
 	}
 	for name, tt := range tests {
--- a/peridot-entry/prober/prober.go
+++ b/peridot-entry/prober/prober.go
@@ -30,7 +30,7 @@
 	// Lease is how long an announcement is valid at most.
 	Lease time.Duration
 	// Observe records a load report.
-	Observe func(registrar.Key, sender.Load)
+	Observe func(probed *registrar.Server, load sender.Load)
 }
 
 const (
@@ -206,7 +206,7 @@
 	t.probing, t.lastEnd, t.unanswered = false, p.cfg.Now(), err != nil
 	p.mu.Unlock()
 	if err == nil && res.Load != nil {
-		p.cfg.Observe(s.Key(), *res.Load)
+		p.cfg.Observe(s, *res.Load)
 	}
 }
 
--- a/peridot-entry/scout/reachable_test.go
+++ b/peridot-entry/scout/reachable_test.go
@@ -50,10 +50,10 @@
 					probed = append(probed, r.Server.InstanceID)
 					return &sender.Response{Status: 200, Load: tt.load, Server: tt.server, WrongServer: tt.server != "", Body: io.NopCloser(strings.NewReader(""))}, nil
 				},
-				Observe: func(registrar.Key, sender.Load) {},
-				OnReachable: func(k registrar.Key) {
-					if k == gone.Key() {
-						reached <- k
+				Observe: func(*registrar.Server, sender.Load) {},
+				OnReachable: func(server *registrar.Server) {
+					if server.Key() == gone.Key() {
+						reached <- server.Key()
 					}
 				},
 			})
--- a/peridot-entry/scout/scout.go
+++ b/peridot-entry/scout/scout.go
@@ -23,16 +23,17 @@
 	// HealthPath returns the path at which a service's servers report their load; empty when they don't.
 	HealthPath func(service string) string
 	Send       func(context.Context, *sender.Request) (*sender.Response, error)
-	// Observe records a load report.
-	Observe func(registrar.Key, sender.Load)
+	// Observe records a load report. As in the other callbacks, probed is the server as announced when the probe began: the result says nothing
+	// about a later incarnation of it.
+	Observe func(probed *registrar.Server, load sender.Load)
 	// OnRateLimit is called with the limit that a server named in its response to a probe; may be nil.
-	OnRateLimit func(registrar.Key, sender.RateLimit)
+	OnRateLimit func(probed *registrar.Server, limit sender.RateLimit)
 	// OnDraining is called with a server that said in its response to a probe that it drains; may be nil.
-	OnDraining func(registrar.Key)
+	OnDraining func(probed *registrar.Server)
 	// OnPause is called with a server that asked in its response to a probe for no calls during d; may be nil.
-	OnPause func(k registrar.Key, d time.Duration)
+	OnPause func(probed *registrar.Server, d time.Duration)
 	// OnWarmUp is called with how long a server that responded to a probe will still be cold, if it says so; may be nil.
-	OnWarmUp func(k registrar.Key, left time.Duration)
+	OnWarmUp func(probed *registrar.Server, left time.Duration)
 	// Budget returns how many probes per second this entry may send to the servers of a service, 0 or less for no limit; nil for no limit
 	// on any service.
 	Budget func(service string) float64
@@ -41,11 +42,11 @@
 	// HasSuitable reports whether one of the probed servers is suitable for the call, so that no others need be probed; nil for always.
 	HasSuitable func(r picker.Request, probed []registrar.Key) bool
 	// OnUnreachable is called with a server to which no connection could be opened or whose address another server has; may be nil.
-	OnUnreachable func(registrar.Key)
+	OnUnreachable func(probed *registrar.Server)
 	// OnReachable is called with each server that responded to a probe; may be nil.
-	OnReachable func(registrar.Key)
+	OnReachable func(probed *registrar.Server)
 	// OnUnanswered is called with a server that did not respond to a probe within probeTimeout; may be nil.
-	OnUnanswered func(registrar.Key)
+	OnUnanswered func(probed *registrar.Server)
 	// OnProbe is called at the end of each probe with whether it was answered with a load report; may be nil.
 	OnProbe func(service string, answered bool)
 }
@@ -247,7 +248,7 @@
 			s.recordUnreachable(server)
 		}
 		if s.cfg.OnUnanswered != nil && ctx.Err() != nil {
-			s.cfg.OnUnanswered(server.Key())
+			s.cfg.OnUnanswered(server)
 		}
 		return false
 	}
@@ -266,7 +267,7 @@
 		s.recordNoLoad(server.Service, res.Status)
 		return false
 	}
-	s.cfg.Observe(server.Key(), *res.Load)
+	s.cfg.Observe(server, *res.Load)
 	return true
 }
 
@@ -278,27 +279,27 @@
 
 func (s *Scout) recordUnreachable(server *registrar.Server) {
 	if s.cfg.OnUnreachable != nil {
-		s.cfg.OnUnreachable(server.Key())
+		s.cfg.OnUnreachable(server)
 	}
 }
 
 // recordHeader passes on what the header of a server's own response to a probe says, apart from the load.
 func (s *Scout) recordHeader(server *registrar.Server, res *sender.Response) {
 	if s.cfg.OnRateLimit != nil && res.RateLimit.Named {
-		s.cfg.OnRateLimit(server.Key(), res.RateLimit)
+		s.cfg.OnRateLimit(server, res.RateLimit)
 	}
 	if s.cfg.OnPause != nil && res.RetryAfter > 0 {
-		s.cfg.OnPause(server.Key(), res.RetryAfter)
+		s.cfg.OnPause(server, res.RetryAfter)
 	}
 	// Only an announcement takes back that a server drains, so the response has to name the server.
 	if s.cfg.OnDraining != nil && res.Draining && res.Server == server.InstanceID {
-		s.cfg.OnDraining(server.Key())
+		s.cfg.OnDraining(server)
 	}
 	if s.cfg.OnWarmUp != nil && res.WarmUp != nil {
-		s.cfg.OnWarmUp(server.Key(), *res.WarmUp)
+		s.cfg.OnWarmUp(server, *res.WarmUp)
 	}
 	if s.cfg.OnReachable != nil {
-		s.cfg.OnReachable(server.Key())
+		s.cfg.OnReachable(server)
 	}
 }
 
--- a/peridot-entry/scout/scout_test.go
+++ b/peridot-entry/scout/scout_test.go
@@ -84,15 +84,15 @@
 					}
 					return &sender.Response{Load: &sender.Load{Slots: 6}, Body: io.NopCloser(strings.NewReader(""))}, nil
 				},
-				OnUnreachable: func(k registrar.Key) {
-					if k.InstanceID != tt.fail {
-						t.Errorf("OnUnreachable called with %s", k.InstanceID)
+				OnUnreachable: func(server *registrar.Server) {
+					if server.InstanceID != tt.fail {
+						t.Errorf("OnUnreachable called with %s", server.InstanceID)
 					}
 				},
-				Observe: func(k registrar.Key, _ sender.Load) {
+				Observe: func(server *registrar.Server, _ sender.Load) {
 					mu.Lock()
 					defer mu.Unlock()
-					observed[k.InstanceID] = true
+					observed[server.InstanceID] = true
 				},
 			})
 			begin := time.Now()
@@ -135,7 +135,7 @@
 					}
 					return &sender.Response{Load: &sender.Load{Slots: 6}, Body: io.NopCloser(strings.NewReader(""))}, nil
 				},
-				Observe: func(registrar.Key, sender.Load) {},
+				Observe: func(*registrar.Server, sender.Load) {},
 			})
 			if ok := s.probeServer(context.Background(), &registrar.Server{Service: "s", InstanceID: "a"}, "/h"); ok != tt.ok || sends != tt.sends {
 				t.Errorf("answered is %t after %d sends, want %t after %d", ok, sends, tt.ok, tt.sends)
@@ -183,7 +183,7 @@
 					probes.Add(1)
 					return &sender.Response{Load: &sender.Load{Slots: 6}, Body: io.NopCloser(strings.NewReader(""))}, nil
 				},
-				Observe: func(registrar.Key, sender.Load) {},
+				Observe: func(*registrar.Server, sender.Load) {},
 				HasSuitable: func(_ picker.Request, probed []registrar.Key) bool {
 					return tt.suitable >= 0 && slices.Contains(probed, servers[tt.suitable].Key())
 				},
@@ -236,7 +236,7 @@
 					}
 					return &sender.Response{Load: &sender.Load{Slots: 6}, Body: io.NopCloser(strings.NewReader(""))}, nil
 				},
-				Observe: func(registrar.Key, sender.Load) {},
+				Observe: func(*registrar.Server, sender.Load) {},
 			})
 			var got []string
 			for _, k := range s.Probe(context.Background(), picker.Request{Service: "s", Late: tt.late}) {
@@ -275,11 +275,11 @@
 					}
 					return res, nil
 				},
-				Observe: func(registrar.Key, sender.Load) {},
-				OnDraining: func(k registrar.Key) {
+				Observe: func(*registrar.Server, sender.Load) {},
+				OnDraining: func(server *registrar.Server) {
 					mu.Lock()
 					defer mu.Unlock()
-					got = append(got, k)
+					got = append(got, server.Key())
 				},
 			})
 			s.Probe(context.Background(), picker.Request{Service: "s"})
--- a/peridot-entry/scout/takenover_test.go
+++ b/peridot-entry/scout/takenover_test.go
@@ -44,14 +44,14 @@
 						Draining: true, WarmUp: &left, Server: tt.server, WrongServer: tt.wrong, Body: body,
 					}, nil
 				},
-				OnRateLimit:   func(registrar.Key, sender.RateLimit) { add("limit") },
-				OnPause:       func(registrar.Key, time.Duration) { add("pause") },
-				OnDraining:    func(registrar.Key) { add("draining") },
-				OnWarmUp:      func(registrar.Key, time.Duration) { add("warm-up") },
-				OnReachable:   func(registrar.Key) { add("reachable") },
-				OnUnreachable: func(registrar.Key) { add("unreachable") },
-				OnUnanswered:  func(registrar.Key) { add("unanswered") },
-				Observe:       func(registrar.Key, sender.Load) { add("load") },
+				OnRateLimit:   func(*registrar.Server, sender.RateLimit) { add("limit") },
+				OnPause:       func(*registrar.Server, time.Duration) { add("pause") },
+				OnDraining:    func(*registrar.Server) { add("draining") },
+				OnWarmUp:      func(*registrar.Server, time.Duration) { add("warm-up") },
+				OnReachable:   func(*registrar.Server) { add("reachable") },
+				OnUnreachable: func(*registrar.Server) { add("unreachable") },
+				OnUnanswered:  func(*registrar.Server) { add("unanswered") },
+				Observe:       func(*registrar.Server, sender.Load) { add("load") },
 			})
 			ok := s.probeServer(context.Background(), &registrar.Server{Service: "s", InstanceID: "a"}, "/h")
 			if !slices.Equal(got, tt.want) {
@@ -101,7 +101,7 @@
 			}
 			return res, nil
 		},
-		Observe: func(registrar.Key, sender.Load) {},
+		Observe: func(*registrar.Server, sender.Load) {},
 	})
 	for range 5 {
 		s.Probe(context.Background(), picker.Request{Service: "s"})
@@ -127,7 +127,7 @@
 				Candidates: func(r picker.Request, _ int, maxAge time.Duration) ([]registrar.Server, []registrar.Key) {
 					return p.Candidates(r, len(list), maxAge)
 				},
-				HealthPath: func(string) string { return "/h" }, Observe: p.Observe, OnUnreachable: p.MarkUnreachable, OnReachable: p.MarkReachable,
+				HealthPath: func(string) string { return "/h" }, Observe: p.ObserveProbe, OnUnreachable: p.MarkUnreachable, OnReachable: p.MarkReachable,
 				OnProbe: func(_ string, answered bool) { ended <- answered },
 				Send: func(_ context.Context, r *sender.Request) (*sender.Response, error) {
 					server := r.Server.InstanceID
@@ -139,7 +139,7 @@
 			})
 			p.Candidates(picker.Request{Service: "s"}, 2, 0)
 			if marked {
-				p.MarkUnreachable(list[old].Key())
+				p.MarkUnreachable(&list[old])
 				now = now.Add(1500 * time.Millisecond)
 			}
 			s.Probe(context.Background(), picker.Request{Service: "s"})
--- a/peridot-entry/scout/warmup_test.go
+++ b/peridot-entry/scout/warmup_test.go
@@ -42,10 +42,10 @@
 					}
 					return res, nil
 				},
-				Observe: func(registrar.Key, sender.Load) {},
-				OnWarmUp: func(k registrar.Key, d time.Duration) {
-					if k != a.Key() {
-						t.Errorf("OnWarmUp was called with %s", k.InstanceID)
+				Observe: func(*registrar.Server, sender.Load) {},
+				OnWarmUp: func(server *registrar.Server, d time.Duration) {
+					if server.Key() != a.Key() {
+						t.Errorf("OnWarmUp was called with %s", server.InstanceID)
 					}
 					heard <- d
 				},
--- a/peridot-entry/supervisor/evacuation_test.go
+++ b/peridot-entry/supervisor/evacuation_test.go
@@ -92,13 +92,13 @@
 			during()
 			return stale, all
 		},
-		HealthPath: func(string) string { return "/h" }, Send: send, Observe: p.Observe, HasSuitable: p.HasSuitable,
+		HealthPath: func(string) string { return "/h" }, Send: send, Observe: p.ObserveProbe, HasSuitable: p.HasSuitable,
 		OnUnreachable: p.MarkUnreachable, OnUnanswered: p.MarkUnanswered,
 	})
 	r := picker.Request{Service: "s"}
 	s.Probe(context.Background(), r)
-	for i := range 6 {
-		p.MarkUnreachable(key(i))
+	for _, b := range reg.Servers("s") {
+		p.MarkUnreachable(&b)
 	}
 	zones.Store(&[]string{"a"})
 	for range 100 {
--- a/peridot-entry/supervisor/routed.go
+++ b/peridot-entry/supervisor/routed.go
@@ -217,7 +217,7 @@
 		Candidates:    s.picker.Candidates,
 		HealthPath:    s.healthPath,
 		Send:          s.evacuations.guard(s.sender.Do),
-		Observe:       s.picker.Observe,
+		Observe:       s.picker.ObserveProbe,
 		OnRateLimit:   s.picker.ObserveRateLimit,
 		OnDraining:    s.picker.MarkDraining,
 		OnPause:       s.picker.Pause,
--- a/peridot-entry/supervisor/sendpath.go
+++ b/peridot-entry/supervisor/sendpath.go
@@ -135,9 +135,9 @@
 		Servers:       func(service string) []registrar.Server { return s.evacuations.without(s.registrar.Servers(service)) },
 		Send:          s.evacuations.guard(s.sender.Do),
 		Lease:         registrar.DefaultLease,
-		Observe: func(key registrar.Key, load sender.Load) {
-			s.picker.Observe(key, load)
-			s.spreader.ReportLoad(key, load)
+		Observe: func(probed *registrar.Server, load sender.Load) {
+			s.picker.ObserveProbe(probed, load)
+			s.spreader.ReportLoad(probed.Key(), load)
 		},
 	})
 }
