sender: one word for contradictory responses; the two meanings of Shed are told apart

Nothing changes for callers. saysBoth and errBothWays were other words for what Error.Contradictory, the log and the metrics call contradictory. provesNotRun was a function of the dispatcher, for an attempt's error, and one of the sender, for a response; the sender's is isProofOfNotRun now. The comments of HeaderInfo.Shed and Response.Shed say that the one is what a response claims, and the other what is certain.

--- a/peridot-entry/sender/exchange.go
+++ b/peridot-entry/sender/exchange.go
@@ -170,8 +170,8 @@
 	if info.InvalidReason != "" && !e.probe {
 		return nil, e.fail(ctx, ReadingBody, errors.New(info.InvalidReason))
 	}
-	if saysBoth(res.StatusCode, info) && !e.probe {
-		return nil, e.fail(ctx, ReadingBody, errBothWays)
+	if isContradictory(res.StatusCode, info) && !e.probe {
+		return nil, e.fail(ctx, ReadingBody, errContradictory)
 	}
 	if closeDelimited || e.invitesDoubt() || res.Close || !res.ProtoAtLeast(1, 1) {
 		e.conn.broken = true
@@ -183,7 +183,7 @@
 		Trailer:     func() http.Header { return res.Trailer },
 		Body:        b,
 		Load:        info.Load,
-		Shed:        info.isRefusal() && e.provesNotRun(info),
+		Shed:        info.isRefusal() && e.isProofOfNotRun(info),
 		Refusal:     e.refusalKind(info),
 		Draining:    info.Draining && !info.WrongServer,
 		Closing:     info.Closing,
@@ -214,7 +214,7 @@
 	}
 	out.Written = e.conn.endSending()
 	out.Exchange, out.LocalPort, out.Status = e.conn.exchanges, e.conn.localPort(), e.status
-	out.Contradictory = errors.Is(err, errBothWays)
+	out.Contradictory = errors.Is(err, errContradictory)
 	out.Answered = len(e.doubts) > 0 || e.status != 0 && e.info.isRefusal()
 	if out.Status == 0 && len(e.doubts) > 0 {
 		out.Status = e.doubts[0].res.StatusCode
@@ -288,7 +288,7 @@
 func (b *body) checkRefusal() error {
 	e := b.exchange
 	if len(b.res.Trailer) > 0 && e.info.isRefusal() && !e.probe && e.cfg.ParseHeaders(b.res.StatusCode, b.res.Trailer).Ran {
-		return errBothWays
+		return errContradictory
 	}
 	return nil
 }
--- a/peridot-entry/sender/match.go
+++ b/peridot-entry/sender/match.go
@@ -9,11 +9,11 @@
 )
 
 var (
-	errStale     = errors.New("the connection brings answers to other requests")
-	errNotOwn    = errors.New("a response that names no request and may be another's")
-	errNotClosed = errors.New("the backend server announced the end of the connection and has not closed it")
-	errUnmarked  = errors.New("a response that names no request, and no way to find out whose it is")
-	errBothWays  = errors.New("a response that says both that the call was run and that it was not")
+	errStale         = errors.New("the connection brings answers to other requests")
+	errNotOwn        = errors.New("a response that names no request and may be another's")
+	errNotClosed     = errors.New("the backend server announced the end of the connection and has not closed it")
+	errUnmarked      = errors.New("a response that names no request, and no way to find out whose it is")
+	errContradictory = errors.New("a response that says both that the call was run and that it was not")
 )
 
 // match is what a response is to the request that waits for one.
@@ -121,10 +121,10 @@
 func (e *exchange) refusal() (*http.Response, error) {
 	weakest := e.doubts[0]
 	for _, d := range e.doubts {
-		if !d.info.isRefusal() || saysBoth(d.res.StatusCode, &d.info) {
+		if !d.info.isRefusal() || isContradictory(d.res.StatusCode, &d.info) {
 			return nil, errNotOwn
 		}
-		if !e.provesNotRun(&d.info) {
+		if !e.isProofOfNotRun(&d.info) {
 			weakest = d
 		}
 	}
@@ -135,16 +135,16 @@
 // isRefusal reports whether a response says in any way that its request was not run.
 func (i *HeaderInfo) isRefusal() bool { return i.Shed || i.WrongServer }
 
-// provesNotRun reports whether a refusal, if it is the response to this request, proves that the request was not run. That another server has the
+// isProofOfNotRun reports whether a refusal, if it is the response to this request, proves that the request was not run. That another server has the
 // address is proven only by that server's name: without it, the expected one may have sent the response after it ran the request.
-func (e *exchange) provesNotRun(info *HeaderInfo) bool {
+func (e *exchange) isProofOfNotRun(info *HeaderInfo) bool {
 	return info.Shed || info.WrongServer && info.Server != "" && info.Server != e.server.InstanceID
 }
 
 // refusalKind returns what proves that the request was not run; empty if nothing does.
 func (e *exchange) refusalKind(info *HeaderInfo) RefusalKind {
 	switch {
-	case !info.isRefusal() || !e.provesNotRun(info):
+	case !info.isRefusal() || !e.isProofOfNotRun(info):
 		return ""
 	case info.Shed:
 		return RefusalStated
@@ -152,8 +152,8 @@
 	return RefusalWrongServer
 }
 
-// saysBoth reports whether a response says both that its request was run and that it was not. It proves neither.
-func saysBoth(status int, info *HeaderInfo) bool {
+// isContradictory reports whether a response says both that its request was run and that it was not. It proves neither.
+func isContradictory(status int, info *HeaderInfo) bool {
 	return info.isRefusal() && (info.Ran || status/100 == 2)
 }
 
--- a/peridot-entry/sender/sender.go
+++ b/peridot-entry/sender/sender.go
@@ -59,7 +59,8 @@
 // HeaderInfo is the information in a response's header that the entry itself uses.
 type HeaderInfo struct {
 	Load *Load
-	// Shed is true when the server says that it has not run the request, Ran when it says that it has, such as by a signature.
+	// Shed is true when the response says that its request was not run, Ran when it says that it was, such as by a signature. Whose response it is
+	// and whether it contradicts itself is not known yet; Response.Shed is the result.
 	Shed, Ran bool
 	// Draining is true when the server says that it drains, Closing when it refuses a call and closes the connection, as servers that stop
 	// do and sometimes others.
@@ -87,7 +88,8 @@
 	Trailer func() http.Header
 	Body    io.ReadCloser
 	Load    *Load
-	// Shed is true when it is certain that the server has not run the request.
+	// Shed is true when it is certain that the server has not run the request: the response is the request's by Proof, and says so
+	// (HeaderInfo.Shed) or has the name of another server than the expected one. A trailer that contradicts it makes reading Body fail.
 	Shed bool
 	// Refusal is what proves that; empty unless Shed is true.
 	Refusal  RefusalKind
