--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,6 +18,7 @@
 
 var cases = map[string]func(p *platform, trouble string) int{
 	"interrupted-install": interruptedInstall,
+	"late-heartbeat":      lateHeartbeat,
 }
 
 func main() {
--- a/review/standin-3/traffic.go
+++ b/review/standin-3/traffic.go
@@ -36,14 +36,16 @@
 	born     int64
 	seq      atomic.Int64
 	running  atomic.Int64
-	runs     atomic.Int64
-	srv      *http.Server
-	cancel   context.CancelFunc
+	// runs counts the requests that the server has begun to run, answered those of them whose answer was written before its exit.
+	runs, answered atomic.Int64
+	srv            *http.Server
+	cancel         context.CancelFunc
 }
 
 const (
 	slots        = 6
-	serviceTime  = 20 * time.Millisecond
+	safeTime     = 120 * time.Millisecond
+	unsafeTime   = 84 * time.Millisecond
 	heartbeatGap = 1500 * time.Millisecond
 )
 
@@ -107,9 +109,20 @@
 	}
 	b.runs.Add(1)
 	b.p.log("backend %s: runs %s %s, id %s", b.id, req.Method, req.URL.Path, id)
-	time.Sleep(serviceTime)
+	work := safeTime
+	if req.Method != http.MethodGet {
+		work = unsafeTime
+	}
+	select {
+	case <-time.After(work):
+	case <-req.Context().Done():
+		b.p.log("backend %s: request %s is cut off at work", b.id, id)
+		return
+	}
 	h.Set("Server-Stamp", "stamp-"+id)
-	_ = json.NewEncoder(w).Encode(id)
+	if json.NewEncoder(w).Encode(id) == nil {
+		b.answered.Add(1)
+	}
 }
 
 // client sends requests to the entries in turn.
