--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(p *platform, trouble string) int{
 	"interrupted-install": interruptedInstall,
 	"late-heartbeat":      lateHeartbeat,
+	"interrupted-start":   interruptedStart,
 }
 
 func main() {
