recorder: finish an interrupted Compact on disk, not only in memory

After a stop in between, Open moved the base position and dropped the entries in memory only, and went on appending to a file that still had the earlier base and entries.

Change: where reconciling has changed what the log must hold, Open replaces the log file before it returns. Whatever is appended then follows the last record of the file. A stop of that start leaves the state as it was, and the next one does the same again.

--- a/peridot-control/recorder/load.go
+++ b/peridot-control/recorder/load.go
@@ -30,7 +30,8 @@
 		return nil, &CorruptError{logName, 0, "the record of the identity or of the base position is missing"}
 	}
 	st.TornBytes = len(buf) - n
-	if err = st.loadSnapshot(r.path(snapshotName)); err != nil {
+	interrupted, err := st.loadSnapshot(r.path(snapshotName))
+	if err != nil {
 		return nil, err
 	}
 	if st.Snapshot == nil {
@@ -46,6 +47,10 @@
 	if id == st.ID {
 		st.Initial = initial
 	}
+	if interrupted {
+		// Entries that are appended from now on must follow the last one in the file.
+		return st, r.replaceLog(st.Vote, st.Base, st.Entries)
+	}
 	if r.log, err = os.OpenFile(r.path(logName), os.O_RDWR, fileMode); err != nil {
 		return nil, err
 	}
@@ -138,42 +143,45 @@
 	return nil
 }
 
-func (st *State) loadSnapshot(path string) error {
+// loadSnapshot reads the snapshot file and reports whether the log file must be rewritten; see reconcile.
+func (st *State) loadSnapshot(path string) (interrupted bool, err error) {
 	buf, err := os.ReadFile(path)
 	if os.IsNotExist(err) {
 		if st.Base.Index > 0 {
-			return &CorruptError{snapshotName, 0, "the file is missing although the log was compacted"}
+			return false, &CorruptError{snapshotName, 0, "the file is missing although the log was compacted"}
 		}
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	n, err := decodeRecords(snapshotName, buf, func(rec *replicatorpb.Record) error {
 		st.Snapshot = rec.GetSnapshot()
 		return nil
 	})
 	if err != nil {
-		return err
+		return false, err
 	}
 	if n != len(buf) || st.Snapshot == nil {
-		return &CorruptError{snapshotName, n, "the file is truncated"}
+		return false, &CorruptError{snapshotName, n, "the file is truncated"}
 	}
 	return st.reconcile()
 }
 
-// reconcile makes snapshot and log consistent again if the process stopped after replacing one and before replacing the other.
-func (st *State) reconcile() error {
+// reconcile makes snapshot and log consistent again if the process stopped after replacing one and before replacing the other. It reports
+// whether it has changed what the log file holds.
+func (st *State) reconcile() (interrupted bool, err error) {
 	s := st.Snapshot
 	last := st.Base.Index + uint64(len(st.Entries))
 	switch {
 	case s.Index < st.Base.Index:
-		return &CorruptError{snapshotName, 0, "the snapshot is older than the base position of the log"}
+		return false, &CorruptError{snapshotName, 0, "the snapshot is older than the base position of the log"}
 	case st.Base.Index == 0 && len(st.Entries) == 0 && st.Vote.Term == 0 && s.Index > 1:
 		// The process stopped in Reset before it removed the snapshot of the previous identity.
 		st.Snapshot = nil
 	case s.Index > last || s.Index > st.Base.Index && st.Entries[s.Index-st.Base.Index-1].Term != s.Term:
 		st.Base, st.Entries = &replicatorpb.Position{Index: s.Index, Term: s.Term}, nil
+		return true, nil
 	}
-	return nil
+	return false, nil
 }
--- a/peridot-control/recorder/recorder.go
+++ b/peridot-control/recorder/recorder.go
@@ -114,7 +114,8 @@
 	return r.cfg.Sync(r.log)
 }
 
-// Compact replaces the snapshot, then replaces the log by one that starts after base.
+// Compact replaces the snapshot, then replaces the log by one that starts after base. If the process stops in between, Open replaces the log: by
+// one that starts after the snapshot if the old one doesn't contain the snapshot's position.
 func (r *Recorder) Compact(snap *replicatorpb.Snapshot, vote *replicatorpb.Vote, base *replicatorpb.Position, entries []*replicatorpb.Entry) (err error) {
 	defer func() { err = errors.WithMessage(err, "compact the log") }()
 	buf := appendRecord(nil, &replicatorpb.Record{Record: &replicatorpb.Record_Snapshot{Snapshot: snap}})
--- a/peridot-control/recorder/recorder_test.go
+++ b/peridot-control/recorder/recorder_test.go
@@ -117,6 +117,57 @@
 	}
 }
 
+// stopAt returns a Sync function that fails from the nth sync on, the first being 0.
+func stopAt(n int) func(*os.File) error {
+	return func(f *os.File) error {
+		if n--; n < 0 {
+			return errors.New("stopped")
+		}
+		return f.Sync()
+	}
+}
+
+// Guards against entries that are refused, or missing, at the second start after a process was killed while it took over a snapshot: they were
+// appended to a log file that doesn't contain the snapshot's position.
+func TestEntriesAfterAnInterruptedInstallAreKept(t *testing.T) {
+	tests := map[string]struct {
+		// log holds the terms of the entries before the snapshot is taken over.
+		log  []uint64
+		snap *replicatorpb.Snapshot
+	}{
+		"the founder of a cluster":                     {nil, &replicatorpb.Snapshot{Index: 1, Term: 1}},
+		"a log that ends before the snapshot":          {[]uint64{1, 1}, &replicatorpb.Snapshot{Index: 20, Term: 3}},
+		"a log that conflicts with the snapshot":       {[]uint64{1, 1, 1, 1, 1, 1, 1, 1}, &replicatorpb.Snapshot{Index: 8, Term: 2}},
+		"a log that conflicts and ends after snapshot": {[]uint64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1}, &replicatorpb.Snapshot{Index: 8, Term: 2}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			dir := t.TempDir()
+			r, _, err := open(t, dir)
+			g.Expect(err).NotTo(HaveOccurred())
+			for i, term := range tt.log {
+				g.Expect(r.Save(&replicatorpb.Vote{Term: term}, []*replicatorpb.Entry{entry(uint64(i+1), term)})).To(Succeed())
+			}
+			// The snapshot is in place after two syncs, the log after two more.
+			r.cfg.Sync = stopAt(2)
+			base := &replicatorpb.Position{Index: tt.snap.Index, Term: tt.snap.Term}
+			g.Expect(r.Compact(tt.snap, &replicatorpb.Vote{Term: tt.snap.Term}, base, nil)).NotTo(Succeed())
+			g.Expect(r.Close()).To(Succeed())
+			for saved := range 4 {
+				r, st, err := open(t, dir)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(proto.Equal(st.Snapshot, tt.snap)).To(BeTrue())
+				g.Expect(proto.Equal(st.Base, base)).To(BeTrue())
+				g.Expect(st.Entries).To(HaveLen(saved), "the entries that were saved since")
+				next := entry(base.Index+1+uint64(saved), base.Term)
+				g.Expect(r.Save(nil, []*replicatorpb.Entry{next})).To(Succeed())
+				g.Expect(r.Close()).To(Succeed())
+			}
+		})
+	}
+}
+
 func TestSaveFailsOnSyncErrorAndFullDisk(t *testing.T) {
 	g := NewWithT(t)
 	fail := false
