--- a/peridot-control/recorder/load.go
+++ b/peridot-control/recorder/load.go
@@ -35,7 +35,7 @@
 		return nil, err
 	}
 	if st.Snapshot == nil {
-		if err = os.Remove(r.path(snapshotName)); err != nil && !os.IsNotExist(err) {
+		if err = r.removeSnapshot(); err != nil {
 			return nil, err
 		}
 	}
@@ -143,6 +143,47 @@
 	return nil
 }
 
+// snapshotFile is the content of the snapshot file.
+type snapshotFile struct {
+	// owner is the identity of the directory once the snapshot is in force, and replaced the one before, if ReplaceID changed it. Files of
+	// earlier builds hold neither, and no vote.
+	owner, replaced uint64
+	vote            *replicatorpb.Vote
+	snapshot        *replicatorpb.Snapshot
+}
+
+func (f *snapshotFile) encode() (buf []byte) {
+	if f.replaced != 0 {
+		buf = appendRecord(buf, &replicatorpb.Record{Record: &replicatorpb.Record_Identity{Identity: f.replaced}})
+	}
+	buf = appendRecord(buf, &replicatorpb.Record{Record: &replicatorpb.Record_Identity{Identity: f.owner}})
+	buf = appendRecord(buf, &replicatorpb.Record{Record: &replicatorpb.Record_Vote{Vote: f.vote}})
+	return appendRecord(buf, &replicatorpb.Record{Record: &replicatorpb.Record_Snapshot{Snapshot: f.snapshot}})
+}
+
+// applyRecord applies one record of the snapshot file to f.
+func (f *snapshotFile) applyRecord(rec *replicatorpb.Record) error {
+	switch v := rec.Record.(type) {
+	case *replicatorpb.Record_Identity:
+		f.owner, f.replaced = v.Identity, f.owner
+	case *replicatorpb.Record_Vote:
+		f.vote = v.Vote
+	case *replicatorpb.Record_Snapshot:
+		f.snapshot = v.Snapshot
+	default:
+		return errors.Errorf("unexpected record type %T", rec.Record)
+	}
+	return nil
+}
+
+// isLeftOver reports whether a Reset stopped before it removed the file, which belongs to the identity before that.
+func (f *snapshotFile) isLeftOver(st *State) bool {
+	if f.owner != 0 {
+		return f.owner != st.ID && f.replaced != st.ID
+	}
+	return st.Base.Index == 0 && len(st.Entries) == 0 && st.Vote.Term == 0 && f.snapshot.Index > 1
+}
+
 // loadSnapshot reads the snapshot file and reports whether the log file must be rewritten; see reconcile.
 func (st *State) loadSnapshot(path string) (interrupted bool, err error) {
 	buf, err := os.ReadFile(path)
@@ -155,33 +196,53 @@
 	if err != nil {
 		return false, err
 	}
-	n, err := decodeRecords(snapshotName, buf, func(rec *replicatorpb.Record) error {
-		st.Snapshot = rec.GetSnapshot()
-		return nil
-	})
+	f := &snapshotFile{}
+	n, err := decodeRecords(snapshotName, buf, f.applyRecord)
 	if err != nil {
 		return false, err
 	}
-	if n != len(buf) || st.Snapshot == nil {
+	if n != len(buf) || f.snapshot == nil {
 		return false, &CorruptError{snapshotName, n, "the file is truncated"}
 	}
-	return st.reconcile()
+	return st.reconcile(f)
 }
 
 // reconcile makes snapshot and log consistent again if the process stopped after replacing one and before replacing the other. It reports
 // whether it has changed what the log file holds.
-func (st *State) reconcile() (interrupted bool, err error) {
-	s := st.Snapshot
+func (st *State) reconcile(f *snapshotFile) (interrupted bool, err error) {
+	s := f.snapshot
 	last := st.Base.Index + uint64(len(st.Entries))
 	switch {
+	case f.isLeftOver(st):
+		if st.Base.Index > 0 {
+			return false, &CorruptError{snapshotName, 0, "the snapshot belongs to another identity than the log"}
+		}
+		return false, nil
 	case s.Index < st.Base.Index:
 		return false, &CorruptError{snapshotName, 0, "the snapshot is older than the base position of the log"}
-	case st.Base.Index == 0 && len(st.Entries) == 0 && st.Vote.Term == 0 && s.Index > 1:
-		// The process stopped in Reset before it removed the snapshot of the previous identity.
-		st.Snapshot = nil
-	case s.Index > last || s.Index > st.Base.Index && st.Entries[s.Index-st.Base.Index-1].Term != s.Term:
-		st.Base, st.Entries = &replicatorpb.Position{Index: s.Index, Term: s.Term}, nil
-		return true, nil
-	}
-	return false, nil
+	case f.replaced != 0 && f.replaced == st.ID:
+	case s.Index > last:
+	case s.Index > st.Base.Index && st.Entries[s.Index-st.Base.Index-1].Term != s.Term:
+		// Earlier builds appended to such a log: these entries can't be told from those that conflict with the snapshot.
+		if f.owner == 0 && s.Index < last && st.Entries[len(st.Entries)-1].Term >= s.Term {
+			return false, &CorruptError{logName, 0, "it conflicts with the snapshot and may hold entries that follow the snapshot"}
+		}
+	default:
+		st.Snapshot = s
+		return false, nil
+	}
+	if f.owner != 0 {
+		st.ID = f.owner
+	}
+	st.Vote = laterVote(st.Vote, f.vote)
+	st.Snapshot, st.Base, st.Entries = s, &replicatorpb.Position{Index: s.Index, Term: s.Term}, nil
+	return true, nil
+}
+
+// laterVote returns the vote of the later term. Within a term a member votes once.
+func laterVote(a, b *replicatorpb.Vote) *replicatorpb.Vote {
+	if b.GetTerm() > a.Term || b.GetTerm() == a.Term && a.For == 0 && b != nil {
+		return b
+	}
+	return a
 }
--- a/peridot-control/recorder/recorder.go
+++ b/peridot-control/recorder/recorder.go
@@ -52,8 +52,11 @@
 
 // Recorder writes the files of a directory. It is not safe for concurrent use. After an error only Close may be called.
 type Recorder struct {
-	cfg  Config
-	id   uint64
+	cfg Config
+	id  uint64
+	// replacedID is the identity that the log file holds until the next Compact, after ReplaceID; 0 otherwise.
+	replacedID uint64
+
 	log  *os.File
 	lock *os.File
 	size int64
@@ -118,8 +121,8 @@
 // one that starts after the snapshot if the old one doesn't contain the snapshot's position.
 func (r *Recorder) Compact(snap *replicatorpb.Snapshot, vote *replicatorpb.Vote, base *replicatorpb.Position, entries []*replicatorpb.Entry) (err error) {
 	defer func() { err = errors.WithMessage(err, "compact the log") }()
-	buf := appendRecord(nil, &replicatorpb.Record{Record: &replicatorpb.Record_Snapshot{Snapshot: snap}})
-	f, err := r.replaceFile(snapshotName, buf)
+	content := &snapshotFile{owner: r.id, replaced: r.replacedID, vote: vote, snapshot: snap}
+	f, err := r.replaceFile(snapshotName, content.encode())
 	if err != nil {
 		return err
 	}
@@ -142,15 +145,20 @@
 	if err = r.replaceLog(st.Vote, st.Base, nil); err != nil {
 		return nil, err
 	}
-	if err = os.Remove(r.path(snapshotName)); err != nil && !os.IsNotExist(err) {
-		return nil, err
+	return st, r.removeSnapshot()
+}
+
+// removeSnapshot removes the snapshot file, if there is one.
+func (r *Recorder) removeSnapshot() error {
+	if err := os.Remove(r.path(snapshotName)); err != nil && !os.IsNotExist(err) {
+		return err
 	}
-	return st, r.syncDir(r.cfg.Dir)
+	return r.syncDir(r.cfg.Dir)
 }
 
-// ReplaceID generates a new identity, which the next Compact writes.
+// ReplaceID generates a new identity, which the next Compact writes. That Compact has no entries after its snapshot.
 func (r *Recorder) ReplaceID() uint64 {
-	r.id = r.cfg.NewID()
+	r.replacedID, r.id = r.id, r.cfg.NewID()
 	return r.id
 }
 
@@ -178,7 +186,7 @@
 	if r.log != nil {
 		_ = r.log.Close()
 	}
-	r.log, r.size = f, int64(len(buf))
+	r.log, r.size, r.replacedID = f, int64(len(buf)), 0
 	return nil
 }
 
--- a/peridot-control/recorder/recorder_test.go
+++ b/peridot-control/recorder/recorder_test.go
@@ -135,6 +135,7 @@
 		log  []uint64
 		snap *replicatorpb.Snapshot
 	}{
+		"an empty directory":                           {nil, &replicatorpb.Snapshot{Index: 20, Term: 3}},
 		"the founder of a cluster":                     {nil, &replicatorpb.Snapshot{Index: 1, Term: 1}},
 		"a log that ends before the snapshot":          {[]uint64{1, 1}, &replicatorpb.Snapshot{Index: 20, Term: 3}},
 		"a log that conflicts with the snapshot":       {[]uint64{1, 1, 1, 1, 1, 1, 1, 1}, &replicatorpb.Snapshot{Index: 8, Term: 2}},
@@ -211,6 +212,97 @@
 	}
 }
 
+// Guards against a snapshot that is kept under another identity than the one that wrote it, after a stop in Reset: a founder's first snapshot
+// looks the same as one that was left behind.
+func TestInterruptedResetKeepsNoSnapshot(t *testing.T) {
+	for _, index := range []uint64{1, 20} {
+		for stop := range 3 {
+			t.Run(fmt.Sprintf("index %d, stopped at sync %d", index, stop), func(t *testing.T) {
+				g := NewWithT(t)
+				dir, id := t.TempDir(), uint64(20)
+				newID := func() uint64 { id++; return id }
+				r, _, err := Open(Config{Dir: dir, NewID: newID})
+				g.Expect(err).NotTo(HaveOccurred())
+				snap, base := &replicatorpb.Snapshot{Index: index, Term: 1}, &replicatorpb.Position{Index: index, Term: 1}
+				g.Expect(r.Compact(snap, &replicatorpb.Vote{Term: 1}, base, nil)).To(Succeed())
+				r.cfg.Sync = stopAt(stop)
+				_, err = r.Reset()
+				g.Expect(err).To(HaveOccurred())
+				g.Expect(r.Close()).To(Succeed())
+				for range 2 {
+					r, st, err := Open(Config{Dir: dir, NewID: newID})
+					g.Expect(err).NotTo(HaveOccurred())
+					g.Expect(st.Snapshot != nil).To(Equal(st.ID == 21), "the snapshot belongs to identity 21 alone, the directory has %d", st.ID)
+					g.Expect(r.Close()).To(Succeed())
+				}
+			})
+		}
+	}
+}
+
+// Guards against a recovery under a new identity that is interrupted and leaves the snapshot of one identity beside the log of the other.
+func TestInterruptedChangeOfIdentityIsFinishedOrUndone(t *testing.T) {
+	for stop := range 4 {
+		t.Run(fmt.Sprint("stopped at sync ", stop), func(t *testing.T) {
+			g := NewWithT(t)
+			dir, id := t.TempDir(), uint64(20)
+			newID := func() uint64 { id++; return id }
+			r, _, err := Open(Config{Dir: dir, NewID: newID})
+			g.Expect(err).NotTo(HaveOccurred())
+			old, base := &replicatorpb.Snapshot{Index: 8, Term: 3, State: []byte("old")}, &replicatorpb.Position{Index: 8, Term: 3}
+			g.Expect(r.Compact(old, &replicatorpb.Vote{Term: 3, For: 9}, base, nil)).To(Succeed())
+			g.Expect(r.ReplaceID()).To(Equal(uint64(22)))
+			r.cfg.Sync = stopAt(stop)
+			recovered := &replicatorpb.Snapshot{Index: 8, Term: 3, State: []byte("recovered")}
+			g.Expect(r.Compact(recovered, &replicatorpb.Vote{Term: 4}, base, nil)).NotTo(Succeed())
+			g.Expect(r.Close()).To(Succeed())
+			for range 2 {
+				r, st, err := Open(Config{Dir: dir, NewID: newID})
+				g.Expect(err).NotTo(HaveOccurred())
+				want := map[uint64]string{21: "old", 22: "recovered"}[st.ID]
+				g.Expect(string(st.Snapshot.State)).To(Equal(want), "the directory has identity %d", st.ID)
+				g.Expect(st.Vote.Term).To(Equal(st.ID-18), "the vote of identity %d", st.ID)
+				g.Expect(r.Close()).To(Succeed())
+			}
+		})
+	}
+}
+
+// Guards against entries of a log that are dropped as conflicting although an earlier build may have appended them after the snapshot.
+func TestOpenRefusesAConflictingLogOfAnEarlierBuild(t *testing.T) {
+	tests := map[string]struct {
+		// after holds the terms of the entries from index 9 on; the snapshot has index 8 and term 2, entry 8 term 1.
+		after   []uint64
+		refused bool
+	}{
+		"nothing after the snapshot":               {nil, false},
+		"entries that were there before":           {[]uint64{1, 1}, false},
+		"entries that may follow the snapshot":     {[]uint64{2, 2}, true},
+		"entries of which the last one may follow": {[]uint64{1, 2}, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			dir := t.TempDir()
+			r, _, err := open(t, dir)
+			g.Expect(err).NotTo(HaveOccurred())
+			for i, term := range append([]uint64{1, 1, 1, 1, 1, 1, 1, 1}, tt.after...) {
+				g.Expect(r.Save(&replicatorpb.Vote{Term: term}, []*replicatorpb.Entry{entry(uint64(i+1), term)})).To(Succeed())
+			}
+			g.Expect(r.Close()).To(Succeed())
+			record := &replicatorpb.Record{Record: &replicatorpb.Record_Snapshot{Snapshot: &replicatorpb.Snapshot{Index: 8, Term: 2}}}
+			g.Expect(os.WriteFile(filepath.Join(dir, snapshotName), appendRecord(nil, record), fileMode)).To(Succeed())
+			_, st, err := open(t, dir)
+			var corrupt *CorruptError
+			g.Expect(errors.As(err, &corrupt)).To(Equal(tt.refused))
+			if !tt.refused {
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(st.Entries).To(BeEmpty())
+			}
+		})
+	}
+}
+
 func TestOpenFailsIfAnotherProcessHoldsTheLock(t *testing.T) {
 	g := NewWithT(t)
 	dir := t.TempDir()
