recorder: sync the directory at each start

What could happen: a member is killed after it has renamed its new log and before the name is durable, starts again, acknowledges entries, and loses power: the earlier log is back and the entries are gone without an error.

Cause: the next start found the new file by its name and appended to it, but nothing made the name durable. The same class as the interrupted Compact: a start that relies on what the one before it may not have finished.

--- a/peridot-control/recorder/load.go
+++ b/peridot-control/recorder/load.go
@@ -21,6 +21,10 @@
 	if err != nil {
 		return nil, err
 	}
+	// The last process may have stopped after it renamed a file and before the name was durable.
+	if err = r.syncDir(r.cfg.Dir); err != nil {
+		return nil, err
+	}
 	st = &State{Vote: &replicatorpb.Vote{}}
 	n, err := decodeRecords(logName, buf, st.applyRecord)
 	if err != nil {
