keeper: sync the parent of a new claim log's directory

What could happen: all of control loses power soon after its first start, and the directory with the claim log is gone, with the claims that were acknowledged. Not seen in a running deployment.

Cause: the directory is created beneath the member's data directory, which was synced last before that.

Evidence: TestNewLogIsDurableWithItsDirectory; before the change neither the parent nor, through Config.Sync, the directory was synced.

Change: the parent is synced at each start. Syncs of directories go through Config.Sync like those of files.

--- a/peridot-control/keeper/keeper_test.go
+++ b/peridot-control/keeper/keeper_test.go
@@ -218,3 +218,17 @@
 		})
 	}
 }
+
+// Guards against claims that are gone after a loss of power because the log's directory was created and never synced in its parent.
+func TestNewLogIsDurableWithItsDirectory(t *testing.T) {
+	g := NewWithT(t)
+	parent := t.TempDir()
+	var synced []string
+	k, err := New(Config{Dir: filepath.Join(parent, "claims"), Sync: func(f *os.File) error {
+		synced = append(synced, f.Name())
+		return f.Sync()
+	}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(k.Close()).To(Succeed())
+	g.Expect(synced).To(ContainElements(parent, filepath.Join(parent, "claims"), filepath.Join(parent, "claims", logName)))
+}
--- a/peridot-control/keeper/log.go
+++ b/peridot-control/keeper/log.go
@@ -54,6 +54,9 @@
 		return nil, 0, err
 	}
 	l = &logFile{path: filepath.Join(dir, logName), sync: sync}
+	if err = l.syncDir(filepath.Dir(dir)); err != nil {
+		return nil, 0, err
+	}
 	data, err := os.ReadFile(l.path)
 	if err != nil && !os.IsNotExist(err) {
 		return nil, 0, err
@@ -74,7 +77,7 @@
 	if err = l.sync(l.f); err != nil {
 		return nil, 0, err
 	}
-	return l, torn, syncDir(dir)
+	return l, torn, l.syncDir(dir)
 }
 
 // replayRecords calls replay for each complete record of data and returns their total size.
@@ -167,16 +170,16 @@
 	}
 	_ = l.f.Close()
 	l.f, l.bytes = f, int64(len(buf))
-	return syncDir(filepath.Dir(l.path))
+	return l.syncDir(filepath.Dir(l.path))
 }
 
 func (l *logFile) close() error { return l.f.Close() }
 
-func syncDir(dir string) error {
+func (l *logFile) syncDir(dir string) error {
 	d, err := os.Open(dir)
 	if err != nil {
 		return err
 	}
 	defer d.Close()
-	return d.Sync()
+	return l.sync(d)
 }
