arbiter: a leave ends the incarnation that it names

Cause: the leave of a listed id was recorded as a copy of the old record with the state left, with the start time of the earlier incarnation. The late announcement of the later one then counted as a newer start. The same after the end of the earlier one's lease.

Change: the record of a leave takes the start time and the sequence of the leave where that is the later start.

--- a/peridot-control/arbiter/table.go
+++ b/peridot-control/arbiter/table.go
@@ -80,10 +80,8 @@
 	if t.Servers == nil {
 		t.Servers = make(map[string]*Server)
 	}
-	if old := t.Servers[s.InstanceID]; old != nil && (s.State == Left || s.State == Lost) {
-		state, sequence := s.State, max(s.Sequence, old.Sequence)
-		s = *old
-		s.State, s.Sequence = state, sequence
+	if old := t.Servers[s.InstanceID]; old != nil && !s.isLive() {
+		s = old.ended(&s)
 	}
 	t.Version++
 	s.Version = t.Version
@@ -92,6 +90,19 @@
 	t.trimTombstones()
 }
 
+// ended returns the record of s after last, which says that the server has left or is lost. A leave without a start time ends the recorded
+// incarnation, any other the one that it names, so that late announcements of that one change nothing.
+func (s *Server) ended(last *Server) Server {
+	out := *s
+	out.State = last.State
+	if last.Started > s.Started {
+		out.Started, out.Sequence = last.Started, last.Sequence
+	} else {
+		out.Sequence = max(last.Sequence, s.Sequence)
+	}
+	return out
+}
+
 // isSuperseded reports whether a later incarnation is live at the address of s, which makes s out of date whenever it arrives.
 func (t *Table) isSuperseded(s *Server) bool {
 	if s.State != Ready && s.State != Draining {
