arbiter: an expired lease ends no later announcement than its own

What could happen: a server whose lease ends while its next announcement is being committed is marked as lost although that announcement was acknowledged, until the one after it.

Cause: a command that marks a server as lost applied to whatever the record held by then, also to a record of another incarnation.

Evidence: TestTable, "a lease that ended before a later announcement": the server is lost instead of draining.

Change: the command applies only to a record of its own start time and no later sequence. An announcement that changes nothing isn't in the record; that case is the deliverer's.

--- a/peridot-control/arbiter/table.go
+++ b/peridot-control/arbiter/table.go
@@ -53,14 +53,17 @@
 		return s.State != Lost
 	}
 	switch {
+	case s.State == Lost:
+		// A later announcement than the one whose lease has expired renews the lease.
+		return s.Started == old.Started && old.isLive() && s.Sequence >= old.Sequence
 	case s.Started == 0 && s.State == Left:
 		return old.State != Left
 	case s.Started != old.Started:
 		return s.Started > old.Started
 	case old.State == Left:
 		return false
-	case s.State == Left || s.State == Lost:
-		return s.State != old.State
+	case s.State == Left:
+		return true
 	case s.Sequence <= old.Sequence:
 		return false
 	}
