arbiter: keep track of announcements while another server has the address

What could happen: a server announces that it drains, while a server with a later start is listed at its address. The announcement is acknowledged and leaves no trace, so that an earlier one that arrives once the address is free lists the server as ready. It needs start times that don't follow the order of the starts to do harm: otherwise the server's process has ended by then.

Change: such an announcement is recorded as that of a lost server, with its start time and sequence. The next one restores the server once the address is free, an earlier one doesn't.

Evidence: TestTable, "draining is kept while another server has the address", has the server ready on the commit before. TestLateAnnouncementsChangeNoOtherIncarnation, new, plays random histories of two ids, with announcements late, copied and out of order and leases that end, against what was acknowledged. HISTORIES sets their number.

The case "an earlier incarnation can't take an address" of TestTable expected no record of the refused server; it expects a lost one now, which is as strict: only ready and draining servers are passed on to entries as usable.

--- a/peridot-control/arbiter/table.go
+++ b/peridot-control/arbiter/table.go
@@ -77,12 +77,16 @@
 }
 
 func (t *Table) applyServer(s Server) {
-	if !t.NeedsUpdate(&s) || t.isSuperseded(&s) {
+	if !t.NeedsUpdate(&s) {
 		return
 	}
 	if t.Servers == nil {
 		t.Servers = make(map[string]*Server)
 	}
+	if t.isSuperseded(&s) {
+		// An earlier announcement that arrives once the address is free must not undo this one.
+		s.State = Lost
+	}
 	if old := t.Servers[s.InstanceID]; old != nil && !s.isLive() {
 		s = old.ended(&s)
 	}
