recorder: note the initial members before anything else is written

Callers saw: all of control was killed during the first start of the whole system, before two of three seeds had written the file initial.

Cause: that a process takes part in the first start was written after the lock file and a sync of the parent directory, and took a sync of its own. After a kill in that time the directory wasn't empty, so the platform no longer called it a first start, and it said nothing of one.

Change: in an empty directory the list is written first, in one write, to the temporary file of initial, which the next start completes: it syncs and renames it. Without a log that file is kept, a list that is cut short is dropped. A start after the loss of a disk writes none. A kill between the creation of the file and the write to it, two system calls, or a loss of power before the sync, still makes a spare.

TestStartWithoutInitialMembersIsNoFirstStart and TestIncompleteListOfInitialMembersIsDropped guard the other side.

--- a/peridot-control/recorder/load.go
+++ b/peridot-control/recorder/load.go
@@ -9,11 +9,6 @@
 )
 
 func (r *Recorder) load() (st *State, err error) {
-	for _, name := range []string{logName, snapshotName, initialName} {
-		if err = os.Remove(r.path(name + newSuffix)); err != nil && !os.IsNotExist(err) {
-			return nil, err
-		}
-	}
 	buf, err := os.ReadFile(r.path(logName))
 	if os.IsNotExist(err) {
 		return r.create()
@@ -21,6 +16,11 @@
 	if err != nil {
 		return nil, err
 	}
+	for _, name := range []string{logName, snapshotName, initialName} {
+		if err = os.Remove(r.path(name + newSuffix)); err != nil && !os.IsNotExist(err) {
+			return nil, err
+		}
+	}
 	// The last process may have stopped after it renamed a file and before the name was durable.
 	if err = r.syncDir(r.cfg.Dir); err != nil {
 		return nil, err
@@ -44,7 +44,7 @@
 		}
 	}
 	r.id = st.ID
-	id, initial, err := r.loadInitial()
+	id, initial, err := r.loadInitial(initialName)
 	if err != nil {
 		return nil, err
 	}
@@ -72,17 +72,10 @@
 	if _, err = os.Stat(r.path(snapshotName)); err == nil {
 		return nil, &CorruptError{logName, 0, "the file is missing although there is a snapshot"}
 	}
-	id, initial, err := r.loadInitial()
+	id, initial, err := r.createInitial()
 	if err != nil {
 		return nil, err
 	}
-	if id == 0 && len(r.cfg.Initial) > 0 {
-		// It comes before the log: a process that stops in between is still one that takes part in the bootstrap.
-		id, initial = r.cfg.NewID(), r.cfg.Initial
-		if err = r.saveInitial(id, initial); err != nil {
-			return nil, err
-		}
-	}
 	if id == 0 {
 		return r.Reset()
 	}
@@ -93,35 +86,95 @@
 	return st, err
 }
 
-// loadInitial returns the members that bootstrap a new cluster and the identity of the directory that belongs to them; 0 if there are none.
-func (r *Recorder) loadInitial() (id uint64, initial []*replicatorpb.Member, err error) {
-	buf, err := os.ReadFile(r.path(initialName))
+// createInitial returns the identity and the members of the file initial of a directory without a log, and first completes or creates that file.
+// It comes before the log: a process that stops in between is still one that takes part in the bootstrap. The id is 0 if this process doesn't.
+func (r *Recorder) createInitial() (id uint64, initial []*replicatorpb.Member, err error) {
+	if id, initial, err = r.loadInitial(initialName); err != nil || id != 0 {
+		return id, initial, err
+	}
+	const name = initialName + newSuffix
+	var corrupt *CorruptError
+	if id, initial, err = r.loadInitial(name); err != nil && !errors.As(err, &corrupt) {
+		return 0, nil, err
+	}
+	if err != nil || id == 0 {
+		// The file is cut short if a loss of power, or a kill before the write, has ended the first start.
+		if err = os.Remove(r.path(name)); err != nil && !os.IsNotExist(err) {
+			return 0, nil, err
+		}
+		if len(r.cfg.Initial) == 0 {
+			return 0, nil, nil
+		}
+		if err = r.writeInitial(); err != nil {
+			return 0, nil, err
+		}
+		if id, initial, err = r.loadInitial(name); err != nil {
+			return 0, nil, err
+		}
+	}
+	f, err := os.OpenFile(r.path(name), os.O_RDWR, fileMode)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer f.Close()
+	if err = r.cfg.Sync(f); err != nil {
+		return 0, nil, err
+	}
+	if err = os.Rename(r.path(name), r.path(initialName)); err != nil {
+		return 0, nil, err
+	}
+	return id, initial, r.syncDir(r.cfg.Dir)
+}
+
+// noteInitial writes the temporary file of initial to a directory that is empty. It is the first file there: if the process is killed after it has
+// written anything else, the next one can tell an interrupted first start from one after the loss of a disk.
+func (r *Recorder) noteInitial() error {
+	names, err := os.ReadDir(r.cfg.Dir)
+	if err != nil || len(names) > 0 || len(r.cfg.Initial) == 0 {
+		return err
+	}
+	// Another process may be doing the same; only one of them gets the lock.
+	if err = r.writeInitial(); os.IsExist(err) {
+		return nil
+	}
+	return err
+}
+
+// writeInitial creates the temporary file of initial in one write.
+func (r *Recorder) writeInitial() error {
+	buf := appendRecord(nil, &replicatorpb.Record{Record: &replicatorpb.Record_Identity{Identity: r.cfg.NewID()}})
+	buf = appendRecord(buf, &replicatorpb.Record{Record: &replicatorpb.Record_Initial{Initial: &replicatorpb.Membership{Members: r.cfg.Initial}}})
+	f, err := os.OpenFile(r.path(initialName+newSuffix), os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(buf)
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// loadInitial returns the members that bootstrap a new cluster and the identity of the directory that belongs to them, from the file name; 0 if
+// there are none.
+func (r *Recorder) loadInitial(name string) (id uint64, initial []*replicatorpb.Member, err error) {
+	buf, err := os.ReadFile(r.path(name))
 	if os.IsNotExist(err) {
 		return 0, nil, nil
 	}
 	if err != nil {
 		return 0, nil, err
 	}
-	n, err := decodeRecords(initialName, buf, func(rec *replicatorpb.Record) error {
+	n, err := decodeRecords(name, buf, func(rec *replicatorpb.Record) error {
 		id, initial = max(id, rec.GetIdentity()), append(initial, rec.GetInitial().GetMembers()...)
 		return nil
 	})
 	if err == nil && (n != len(buf) || id == 0 || len(initial) == 0) {
-		err = &CorruptError{initialName, n, "the file is truncated"}
+		err = &CorruptError{name, n, "the file is truncated"}
 	}
 	return id, initial, err
 }
 
-func (r *Recorder) saveInitial(id uint64, initial []*replicatorpb.Member) error {
-	buf := appendRecord(nil, &replicatorpb.Record{Record: &replicatorpb.Record_Identity{Identity: id}})
-	buf = appendRecord(buf, &replicatorpb.Record{Record: &replicatorpb.Record_Initial{Initial: &replicatorpb.Membership{Members: initial}}})
-	f, err := r.replaceFile(initialName, buf)
-	if err != nil {
-		return err
-	}
-	return f.Close()
-}
-
 // applyRecord applies one record of the log file to st.
 func (st *State) applyRecord(rec *replicatorpb.Record) error {
 	switch v := rec.Record.(type) {
--- a/peridot-control/recorder/recorder.go
+++ b/peridot-control/recorder/recorder.go
@@ -72,6 +72,9 @@
 		return nil, nil, err
 	}
 	r = &Recorder{cfg: cfg}
+	if err = r.noteInitial(); err != nil {
+		return nil, nil, err
+	}
 	if err = r.lockDir(); err != nil {
 		return nil, nil, err
 	}
--- a/peridot-control/recorder/recorder_test.go
+++ b/peridot-control/recorder/recorder_test.go
@@ -360,7 +360,7 @@
 			for range 2 {
 				r, st, err := Open(Config{Dir: dir, NewID: newID})
 				g.Expect(err).NotTo(HaveOccurred())
-				g.Expect(same(st.Initial)).To(Equal(stopAt >= 2), "the list that was written before the stop is kept")
+				g.Expect(same(st.Initial)).To(BeTrue(), "the list is kept, as the directory isn't empty")
 				g.Expect(r.Close()).To(Succeed())
 			}
 			r, _, err = Open(Config{Dir: dir, NewID: newID})
@@ -376,3 +376,44 @@
 		})
 	}
 }
+
+// Guards against a process that has lost its disk and takes part in a bootstrap, because its first start after that was interrupted.
+func TestStartWithoutInitialMembersIsNoFirstStart(t *testing.T) {
+	for stop := range 4 {
+		t.Run(fmt.Sprint("stopped at sync ", stop), func(t *testing.T) {
+			g := NewWithT(t)
+			dir := filepath.Join(t.TempDir(), "data")
+			newID := func() uint64 { return 7 }
+			_, _, err := Open(Config{Dir: dir, NewID: newID, Sync: stopAt(stop)})
+			g.Expect(err).To(HaveOccurred())
+			_, st, err := open(t, dir)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(st.Initial).To(BeEmpty())
+		})
+	}
+}
+
+// Guards against a start that fails, or takes part with half a list, after a first start that stopped before its list was written.
+func TestIncompleteListOfInitialMembersIsDropped(t *testing.T) {
+	initial := []*replicatorpb.Member{{Address: "a"}, {Address: "b"}}
+	whole := t.TempDir()
+	r, _, err := Open(Config{Dir: whole, NewID: func() uint64 { return 7 }, Initial: initial})
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Close()).To(Succeed())
+	buf, err := os.ReadFile(filepath.Join(whole, initialName))
+	g.Expect(err).NotTo(HaveOccurred())
+	for cut := range buf {
+		for _, list := range [][]*replicatorpb.Member{nil, initial} {
+			dir := t.TempDir()
+			g.Expect(os.WriteFile(filepath.Join(dir, initialName+newSuffix), buf[:cut], fileMode)).To(Succeed())
+			for range 2 {
+				r, st, err := Open(Config{Dir: dir, NewID: func() uint64 { return 8 }, Initial: list})
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(st.ID).To(Equal(uint64(8)))
+				g.Expect(st.Initial).To(HaveLen(len(list)))
+				g.Expect(r.Close()).To(Succeed())
+			}
+		}
+	}
+}
--- a/peridot-control/recorder/stops_test.go
+++ b/peridot-control/recorder/stops_test.go
@@ -127,6 +127,8 @@
 // member is the state that a member keeps in the directory, as its caller knows it. Entries are known by their terms.
 type member struct {
 	ID, VoteTerm, VoteFor uint64
+	// Initial tells whether the member takes part in the bootstrap of a cluster.
+	Initial bool
 	// Index, Term and State are those of the snapshot; Terms are the terms of the entries after Index.
 	Index, Term uint64
 	State       string
@@ -153,7 +155,7 @@
 
 // memberIn returns the state read from the directory.
 func memberIn(st *State) (m member, err error) {
-	m = member{ID: st.ID, VoteTerm: st.Vote.Term, VoteFor: st.Vote.For}
+	m = member{ID: st.ID, VoteTerm: st.Vote.Term, VoteFor: st.Vote.For, Initial: len(st.Initial) > 0}
 	if st.Snapshot != nil {
 		m.Index, m.Term, m.State = st.Snapshot.Index, st.Snapshot.Term, string(st.Snapshot.State)
 	}
@@ -182,7 +184,9 @@
 	// model is the state after the last operation that was acknowledged or that a start has shown to be complete.
 	model  member
 	lastID uint64
-	trace  []string
+	// initial is the list of the first start; nil after it, or if it follows the loss of a disk.
+	initial []*replicatorpb.Member
+	trace   []string
 }
 
 func (s *stopSeries) newID() uint64 { s.lastID++; return s.lastID }
@@ -192,6 +196,20 @@
 	s.t.Fatalf("%s\nafter:\n%s", fmt.Sprintf(format, args...), strings.Join(s.trace, "\n"))
 }
 
+// firstStart opens the directory for the first time, with the settings of a first start or with those of one after the loss of a disk. It may be stopped
+// at any sync; later starts have the latter settings.
+func (s *stopSeries) firstStart() {
+	s.t.Helper()
+	if s.rnd.IntN(2) == 0 {
+		s.initial = []*replicatorpb.Member{{Address: "a"}, {Address: "b"}, {Address: "c"}}
+	}
+	takesPart := s.initial != nil
+	s.start(nil)
+	if lostPower := slices.Contains(s.trace, "loss of power"); s.model.Initial && !takesPart || !s.model.Initial && takesPart && !lostPower {
+		s.failf("the member takes part in the bootstrap: %t, want %t", s.model.Initial, takesPart)
+	}
+}
+
 // start opens the directory, which must hold one of the states in allowed, or nothing but an identity if there are none. The start itself may be
 // stopped at any sync.
 func (s *stopSeries) start(allowed []member) {
@@ -201,7 +219,8 @@
 		if s.rnd.IntN(3) == 0 {
 			s.disk.stopAfter = s.rnd.IntN(5)
 		}
-		rec, st, err := Open(Config{Dir: s.disk.dir, NewID: s.newID, Sync: s.disk.sync})
+		rec, st, err := Open(Config{Dir: s.disk.dir, NewID: s.newID, Sync: s.disk.sync, Initial: s.initial})
+		s.initial = nil
 		if err != nil && s.disk.stopAfter == 0 {
 			s.trace = append(s.trace, "start stopped")
 			s.maybeLosePower()
@@ -216,7 +235,7 @@
 			s.failf("%v", err)
 		}
 		if allowed == nil {
-			allowed = []member{{ID: m.ID}}
+			allowed = []member{{ID: m.ID, Initial: m.Initial}}
 		}
 		if !slices.ContainsFunc(allowed, func(a member) bool { return sameMember(a, m) }) {
 			s.failf("the directory holds %+v, want one of %+v", m, allowed)
@@ -361,6 +380,7 @@
 		between = append(between, kept)
 	}
 	if recovery {
+		after.Initial = false
 		after.ID, after.VoteTerm, after.VoteFor = s.rec.ReplaceID(), m.VoteTerm+1, 0
 	}
 	snap := &replicatorpb.Snapshot{Index: after.Index, Term: after.Term, State: []byte(after.State)}
@@ -376,7 +396,7 @@
 	for seed := range seriesCount(t) {
 		s := &stopSeries{t: t, rnd: rand.New(rand.NewPCG(seed, 11)), disk: newDisk(t)}
 		s.trace = append(s.trace, fmt.Sprint("seed ", seed))
-		s.start(nil)
+		s.firstStart()
 		for range 12 {
 			s.step()
 		}
