prover: the spec of calls to silent servers at a stop waits for all servers

The trace: the entry listed the first server at 23.349 s and the three others at 23.451 s; the calls came in between, when the service had six slots, and the eighth was refused as servers-full after 56 ms, which is what the entry shall do. The spec assumes four servers and waited for one.

--- a/prover/platform_stop_test.go
+++ b/prover/platform_stop_test.go
@@ -85,6 +85,7 @@
 			f.start(s)
 		}
 		f.waitServing()
+		f.waitServersKnown()
 		e := f.entries[0]
 		const calls = 8
 		statuses := make([]int, calls)
