arbiter: no new version of the table for a superseded announcement

What entries would have seen: since, with each announcement of a server whose address another one has, a new version of the table, passed on to all entries every 1.5 s, although nothing that they use has changed.

Change: such an announcement is recorded in the present version, unless the server was usable. Records may share a version now, so that tombstones are dropped, and changes listed, by version and id: by version alone, members would drop different ones.

Evidence: TestSupersededAnnouncementsAreNotPassedOn (version 6 instead of 1 before); TestAllMembersDropTheSameTombstones fails without the order by id.

--- a/peridot-control/arbiter/table.go
+++ b/peridot-control/arbiter/table.go
@@ -1,6 +1,10 @@
 package arbiter
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
 
 // ServerState is the state of a backend server.
 type ServerState string
@@ -88,14 +92,17 @@
 	if t.Servers == nil {
 		t.Servers = make(map[string]*Server)
 	}
-	if t.isSuperseded(&s) {
+	old, superseded := t.Servers[s.InstanceID], t.isSuperseded(&s)
+	if superseded {
 		// An earlier announcement that arrives once the address is free must not undo this one.
 		s.State = Lost
 	}
-	if old := t.Servers[s.InstanceID]; old != nil && !s.isLive() {
+	if old != nil && !s.isLive() {
 		s = old.ended(&s)
 	}
-	t.Version++
+	if !superseded || old != nil && old.isLive() {
+		t.Version++
+	}
 	s.Version, s.Restarted = t.Version, false
 	t.Servers[s.InstanceID] = &s
 	t.supersedeOlder(&s)
@@ -156,7 +163,7 @@
 	if len(tombstones) <= maxTombstones {
 		return
 	}
-	slices.SortFunc(tombstones, func(a, b *Server) int { return int(a.Version) - int(b.Version) })
+	slices.SortFunc(tombstones, compareVersions)
 	for _, s := range tombstones[:len(tombstones)-maxTombstones] {
 		t.CompactedVersion = max(t.CompactedVersion, s.Version)
 		delete(t.Servers, s.InstanceID)
@@ -172,11 +179,11 @@
 			changed = append(changed, *s)
 		}
 	}
-	slices.SortFunc(changed, func(a, b Server) int {
-		if a.Version < b.Version {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(changed, func(a, b Server) int { return compareVersions(&a, &b) })
 	return changed, full
 }
+
+// compareVersions orders records by version. Some share one; all members must drop the same tombstones.
+func compareVersions(a, b *Server) int {
+	return cmp.Or(cmp.Compare(a.Version, b.Version), strings.Compare(a.InstanceID, b.InstanceID))
+}
--- a/peridot-control/arbiter/table_test.go
+++ b/peridot-control/arbiter/table_test.go
@@ -1,6 +1,7 @@
 package arbiter
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -74,6 +75,26 @@
 	}
 }
 
+// Guards against a new version of the table, which all entries are told of, with each announcement of a server that can't be used because another one
+// has its address.
+func TestSupersededAnnouncementsAreNotPassedOn(t *testing.T) {
+	a := New()
+	a.Apply(Command{Servers: []Server{announcement(2, 1, Ready).withID("b")}})
+	before := a.Servers().Version
+	for sequence := range uint64(5) {
+		a.Apply(Command{Servers: []Server{announcement(1, 1+sequence, Ready)}})
+	}
+	if s := a.Servers(); s.Version != before || s.Servers["a"].Sequence != 5 {
+		t.Errorf("version %d, sequence %d; want version %d, sequence 5", s.Version, s.Servers["a"].Sequence, before)
+	}
+	moved := announcement(3, 1, Ready)
+	moved.Address = "10.0.0.2:1"
+	a.Apply(Command{Servers: []Server{moved, announcement(4, 1, Ready).withID("b"), announcement(3, 2, Ready)}})
+	if changed, _ := a.Servers().ChangesSince(before); len(changed) != 2 || changed[1].InstanceID != "a" || changed[1].State != Lost {
+		t.Errorf("a server that was usable and isn't any more is not passed on: %+v", changed)
+	}
+}
+
 // A follower that applies the changes since any version must end with the same live servers as the table itself.
 func TestIncrementalChangesMatchTable(t *testing.T) {
 	for seed := range uint64(200) {
@@ -150,6 +171,25 @@
 	}
 }
 
+// Guards against members that drop different tombstones, of records that share a version.
+func TestAllMembersDropTheSameTombstones(t *testing.T) {
+	var want []byte
+	for range 5 {
+		a := New()
+		a.Apply(Command{Servers: []Server{announcement(9, 1, Ready)}})
+		for i := range 2 * maxTombstones {
+			s := announcement(1, 1, Ready).withID(fmt.Sprint("b", i))
+			a.Apply(Command{Servers: []Server{s}})
+		}
+		if want == nil {
+			want = a.Snapshot()
+		}
+		if !bytes.Equal(a.Snapshot(), want) {
+			t.Fatal("the same commands result in different tables")
+		}
+	}
+}
+
 func TestNumberedRouting(t *testing.T) {
 	put := func(number uint64, text string) Command {
 		return Command{Routing: &Routing{Number: number, Encoded: differ.Encode(nil, []byte(text))}}
