deliverer: tests for three parts of the leases that none guarded

Found on reading the change again: with each of these off no test failed. That another member forwards an announcement of a server whose clock went back; that renewals by members of earlier builds renew by id; that a server without a start time is renewed by each announcement, and restored with any sequence. Each of the three tests fails with its part off. No product code changes.

--- a/peridot-control/deliverer/late_test.go
+++ b/peridot-control/deliverer/late_test.go
@@ -237,3 +237,54 @@
 		}
 	}
 }
+
+// Guards against a server whose clock went back and whose announcements another member keeps from the leader.
+func TestAnnouncementsOfAnEarlierStartReachTheLeader(t *testing.T) {
+	m := newMembers()
+	m.announce(t, m.leader, 5000, 1)
+	m.advance(13 * time.Second)
+	m.follower.confirmed = m.now
+	s := &arbiter.Server{InstanceID: "a", Service: "s", Address: "10.0.0.1:1", AvailabilityZone: "a", Slots: 6, Started: 4000, Sequence: 1, State: arbiter.Ready}
+	// Nothing listens at the leader's address, so that a forwarded announcement fails.
+	if _, err := m.follower.HandleAnnouncement(t.Context(), s); err == nil || len(m.follower.serverLeases.takePending()) > 0 {
+		t.Errorf("the announcement was collected, not forwarded: error %v", err)
+	}
+}
+
+// Guards against servers that are lost while members of an earlier build collect their announcements, which they don't name.
+func TestRenewalsOfAnEarlierBuildRenewLeases(t *testing.T) {
+	m := newMembers()
+	m.announce(t, m.leader, 1000, 1)
+	m.leader.table, m.leader.reports = newTable(func() time.Time { return m.now }, time.Minute), newReportLog()
+	m.leader.cfg.ReadIndex = func(context.Context) (uint64, error) { return 1, nil }
+	for range 20 {
+		m.advance(time.Second)
+		if _, err := m.leader.Renew(t.Context(), &delivererpb.RenewRequest{RenewedServers: []string{"a"}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if m.state() != arbiter.Ready {
+		t.Errorf("the server is %s", m.state())
+	}
+}
+
+// Guards against a server that gives no start time, starts again, and is lost because its sequence begins anew.
+func TestServerWithoutAStartTimeKeepsItsLease(t *testing.T) {
+	m := newMembers()
+	for sequence := range uint64(30) {
+		m.announce(t, m.leader, 0, sequence+1)
+		m.advance(time.Second)
+	}
+	for sequence := range uint64(20) {
+		m.announce(t, m.leader, 0, sequence+1)
+		m.advance(time.Second)
+		if m.state() != arbiter.Ready {
+			t.Fatalf("the server is %s after announcement %d", m.state(), sequence+1)
+		}
+	}
+	m.advance(13 * time.Second)
+	m.announce(t, m.leader, 0, 5)
+	if m.state() != arbiter.Ready {
+		t.Errorf("the server is %s when it announces itself again", m.state())
+	}
+}
